--- /dev/null
+++ b/src/main/java/kestreldeal/net/Notices.java
@@ -0,0 +1,111 @@
+package kestreldeal.net;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Notices to the platform of messages that were taken on and not delivered, oldest first, several in one
+ * request. Each is repeated until the platform has answered for it. What waits is bounded by the journal,
+ * which holds every message whose notice is not yet heard.
+ */
+final class Notices {
+    /** Longest body of one request, below the protocol's 64 KiB; a single notice always fits. */
+    private static final int LONGEST_BODY = 32 * 1024;
+    /** The platform answers at once: a later answer will not come. */
+    private static final long SILENT_MS = 500;
+    private static final long PAUSE_MS = 100;
+
+    private final EventLoop loop;
+    private final Agent agent;
+    private final Consumer<Held> heard;
+    private final ObjectMapper json = JsonMapper.builder().build();
+    private final Deque<Held> owed = new ArrayDeque<>();
+    private boolean asking;
+    /** The platform could not read the last request: the next holds one notice, to find which it is. */
+    private boolean single;
+
+    Notices(EventLoop loop, Agent agent, Consumer<Held> heard) {
+        this.loop = loop;
+        this.agent = agent;
+        this.heard = heard;
+    }
+
+    /** Tells the platform how this message ended; {@code heard} is called once it has answered. */
+    void owe(Held held) {
+        owed.add(held);
+        if (!asking) {
+            asking = true;
+            // After the turn, so that all that it ends goes out in one request.
+            loop.execute(this::tell);
+        }
+    }
+
+    /** Notices that are not heard yet. */
+    int owed() {
+        return owed.size();
+    }
+
+    private void tell() {
+        List<Held> told = new ArrayList<>();
+        ByteBuf body = Unpooled.buffer();
+        for (Held held : owed) {
+            byte[] line = line(held);
+            if (!told.isEmpty() && (single || body.readableBytes() + line.length > LONGEST_BODY)) {
+                break;
+            }
+            body.writeBytes(line);
+            told.add(held);
+        }
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/reports",
+                body);
+        agent.ask(request, SILENT_MS, answer -> answered(told, answer));
+    }
+
+    private byte[] line(Held held) {
+        Held.Notice notice = held.owed.orElseThrow();
+        ObjectNode line = json.createObjectNode().put("ref", held.id)
+                .put("result", notice.bounced() ? "bounced" : "dead");
+        if (notice.bounced() && notice.waitMs() > 0) {
+            line.put("wait_ms", (long) Math.ceil(notice.waitMs()));
+        }
+        return (line + "\n").getBytes(StandardCharsets.UTF_8);
+    }
+
+    private void answered(List<Held> told, Optional<FullHttpResponse> answer) {
+        int status = answer.map(a -> a.status().code()).orElse(0);
+        boolean unreadable = status == 400;
+        if (unreadable && told.size() == 1) {
+            Log.line("the platform can't read the notice of message " + told.get(0).id + "; it is dropped");
+        }
+        single = unreadable && told.size() > 1;
+        if (status == 204 || unreadable && told.size() == 1) {
+            // New ones come in behind, so those told are still the first.
+            told.forEach(held -> owed.remove());
+            told.forEach(heard);
+        }
+        if (owed.isEmpty()) {
+            asking = false;
+        } else if (status == 204 || unreadable) {
+            tell();
+        } else {
+            loop.schedule(this::tell, PAUSE_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+}
