Key the order of messages by the thread parameter, not by the idempotency key

PROTOCOL puts the key of order into the query parameter 'thread'; the sender gave the module the Idempotency-Key, which is new with each message, so no two messages ever shared a line.

Lost messages remain: the event loops still die when accept runs out of descriptors. The thread is journalled, since order holds across restarts; records of before still read.

--- a/src/main/java/kestreldeal/net/Held.java
+++ b/src/main/java/kestreldeal/net/Held.java
@@ -13,7 +13,10 @@
     final String id;
     final String messageClass;
     final String tenant;
+    /** The idempotency key, which goes on to the endpoint. */
     final Optional<String> key;
+    /** What it is about: messages of one thread go out in order, in classes that keep it. */
+    final Optional<String> thread;
     final long destination;
     /** Wall time, since it must hold in a later life. */
     final long deadlineMs;
@@ -43,13 +46,14 @@
     record Notice(boolean bounced, double waitMs) {
     }
 
-    Held(long number, String id, String messageClass, String tenant, Optional<String> key, long destination,
-            long deadlineMs, byte[] body) {
+    Held(long number, String id, String messageClass, String tenant, Optional<String> key,
+            Optional<String> thread, long destination, long deadlineMs, byte[] body) {
         this.number = number;
         this.id = id;
         this.messageClass = messageClass;
         this.tenant = tenant;
         this.key = key;
+        this.thread = thread;
         this.destination = destination;
         this.deadlineMs = deadlineMs;
         this.body = body;
--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
@@ -47,8 +48,8 @@
     private static final int IDLE_S = 60;
 
     /** What a request asks to be delivered. */
-    record Submission(String id, String messageClass, String tenant, Optional<String> key, long destination,
-                      long budgetMs, byte[] body) {
+    record Submission(String id, String messageClass, String tenant, Optional<String> key,
+                      Optional<String> thread, long destination, long budgetMs, byte[] body) {
     }
 
     /** The sender's side of a request. */
@@ -235,6 +236,7 @@
         if (key.isEmpty() && desk.needsKey(messageClass)) {
             throw new BadInput("Idempotency-Key is missing");
         }
+        Optional<String> thread = thread(request.uri());
         long budgetMs = whole(required(headers, "X-Budget-Ms"), "X-Budget-Ms");
         if (budgetMs < 1) {
             throw new BadInput("X-Budget-Ms leaves no time");
@@ -242,8 +244,18 @@
         String destination = Arrays.stream(required(headers, "X-Envelope").split("[,;\\s]+"))
                 .filter(part -> part.startsWith("dest=")).findFirst()
                 .orElseThrow(() -> new BadInput("X-Envelope names no dest")).substring("dest=".length());
-        return new Submission(id, messageClass, tenant, key, whole(destination, "dest"), budgetMs,
-                ByteBufUtil.getBytes(request.content()));
+        return new Submission(id, messageClass, tenant, key, thread, whole(destination, "dest"),
+                budgetMs, ByteBufUtil.getBytes(request.content()));
+    }
+
+    /** The key of order, which is not the idempotency key: messages of one thread have keys of their own. */
+    private static Optional<String> thread(String uri) throws BadInput {
+        try {
+            return Optional.ofNullable(new QueryStringDecoder(uri).parameters().get("thread"))
+                    .map(values -> values.get(0)).filter(value -> !value.isBlank());
+        } catch (IllegalArgumentException e) {
+            throw new BadInput("the query can't be read");
+        }
     }
 
     private static String required(HttpHeaders headers, String name) throws BadInput {
--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -173,6 +173,7 @@
             out.writeLong(held.deadlineMs);
             out.writeInt(held.body.length);
             out.write(held.body);
+            out.writeUTF(held.thread.orElse(""));
         };
     }
 
@@ -295,8 +296,14 @@
             String tenant = in.readUTF();
             boolean keyed = in.readBoolean();
             String key = in.readUTF();
+            long destination = in.readLong();
+            long deadlineMs = in.readLong();
+            byte[] body = in.readNBytes(in.readInt());
+            // The thread came last and later: records of before end with the body.
+            Optional<String> thread = in.available() == 0 ? Optional.empty()
+                    : Optional.of(in.readUTF()).filter(t -> !t.isEmpty());
             Held held = new Held(number, id, messageClass, tenant, keyed ? Optional.of(key) : Optional.empty(),
-                    in.readLong(), in.readLong(), in.readNBytes(in.readInt()));
+                    thread, destination, deadlineMs, body);
             live.put(number, held);
             count(held, length);
             return;
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -138,7 +138,7 @@
     private Relay.Message message(Held held, int messageClass, double leftMs) {
         double left = Math.min(leftMs, config.settings().classes().get(messageClass).deadlineMs());
         return new Relay.Message(held.number, messageClass, Math.max(0, config.tenants().indexOf(held.tenant)),
-                held.key, left, held.destination);
+                held.thread, left, held.destination);
     }
 
     // ---- the clock and turns ----
@@ -336,7 +336,7 @@
             if (!ready || open.size() >= config.maxOpen()) {
                 return Optional.empty();
             }
-            Held held = new Held(journal.nextNumber(), s.id(), s.messageClass(), s.tenant(), s.key(),
+            Held held = new Held(journal.nextNumber(), s.id(), s.messageClass(), s.tenant(), s.key(), s.thread(),
                     s.destination(), System.currentTimeMillis() + s.budgetMs(), s.body());
             try {
                 journal.taken(held);
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -51,7 +51,7 @@
     }
 
     private Endpoints.Call start(byte[] body, double timeoutMs) throws Exception {
-        Held held = new Held(1, "id-1", "order", "t", Optional.of("key-1"), 7, 0, body);
+        Held held = new Held(1, "id-1", "order", "t", Optional.of("key-1"), Optional.empty(), 7, 0, body);
         return loop.submit(() -> endpoints.call(held, 0, 1, timeoutMs)).get();
     }
 
--- a/src/test/java/kestreldeal/net/JournalTest.java
+++ b/src/test/java/kestreldeal/net/JournalTest.java
@@ -29,7 +29,8 @@
 
     private static Held held(Journal journal, int body) {
         long number = journal.nextNumber();
-        return new Held(number, "id-" + number, "order", "desk", Optional.of("key"), 7, 12_345, new byte[body]);
+        return new Held(number, "id-" + number, "order", "desk", Optional.of("key"),
+                Optional.of("thread"), 7, 12_345, new byte[body]);
     }
 
     @Test
@@ -53,6 +54,7 @@
             Held a = held.get(0);
             assertEquals("id-0", a.id);
             assertEquals(Optional.of("key"), a.key);
+            assertEquals(Optional.of("thread"), a.thread);
             assertEquals(12_345, a.deadlineMs);
             assertArrayEquals(new byte[3], a.body);
             assertEquals(List.of("s-1", "s-2"), a.attempts.stream().map(x -> x.endpoint).toList());
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -17,7 +17,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -103,7 +105,7 @@
     private Config config() throws Exception {
         String classes = """
                 {"name":"order","aim_ms":2000,"give_up_ms":24000,"repeat":"keyed","window_ms":20000},
-                {"name":"once","aim_ms":2000,"give_up_ms":24000,"repeat":"unsafe"}""";
+                {"name":"once","aim_ms":2000,"give_up_ms":24000,"repeat":"unsafe","sequential":true}""";
         Path file = folder.resolve("config.json");
         Files.writeString(file, """
                 {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
@@ -143,7 +145,11 @@
     }
 
     private static String message(String id, String type, String body) {
-        return "POST /" + type + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Call-Class: " + type
+        return message(id, type, "", body);
+    }
+
+    private static String message(String id, String type, String query, String body) {
+        return "POST /" + type + query + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Call-Class: " + type
                 + "\r\nX-Caller: acme\r\nX-Budget-Ms: 24000\r\nIdempotency-Key: key-" + id
                 + "\r\nX-Envelope: dest=7\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
@@ -178,8 +184,8 @@
     private Held earlierLife(String type, long attemptAgoMs, long leftMs, boolean notice) throws Exception {
         try (Journal journal = new Journal(folder.resolve("state"), 3_000_000, 12)) {
             long wall = System.currentTimeMillis();
-            Held held = new Held(journal.nextNumber(), "old", type, "acme", Optional.of("key-old"), 7,
-                    wall + leftMs, "hello".getBytes(StandardCharsets.ISO_8859_1));
+            Held held = new Held(journal.nextNumber(), "old", type, "acme", Optional.of("key-old"),
+                    Optional.empty(), 7, wall + leftMs, "hello".getBytes(StandardCharsets.ISO_8859_1));
             journal.taken(held);
             if (attemptAgoMs > 0) {
                 journal.attempt(held, new Held.Attempt("s-0", wall - attemptAgoMs));
@@ -251,6 +257,25 @@
         awaitNotice("dead");
     }
 
+    @Test
+    void messagesOfOneThreadGoOneAtATimeWhateverTheirIdempotencyKeys() throws Exception {
+        script(Stub.silent());
+        start();
+        for (String id : List.of("one", "two", "three")) {
+            String thread = "?thread=" + (id.equals("three") ? "other" : "same");
+            assertEquals("HTTP/1.1 202 Accepted", ask(client(), message(id, "once", thread, "hello")).line());
+        }
+        Stub.await("the first of each thread", () -> calls().size() == 2);
+        assertEquals(Set.of("one", "three"), calls().stream().map(c -> c.header("X-Call-Id"))
+                .collect(Collectors.toSet()));
+        script(Stub.status(200, ""));
+        for (Stub endpoint : endpoints) {
+            endpoint.answerAll("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+        awaitNothingHeld();
+        assertEquals(3, calls().size());
+    }
+
     @Test
     void aToldWaitIsKept() throws Exception {
         start();
