Evict a distinct idle client for each connection above the cap

A burst of connections closed one victim and then the same, already closed one again and again, since its end is told only after the burst: connections grew past the cap (188 and more of 144, by ss and /proc) until accept ran out of descriptors.

Still open there: CPU stands at its limit, and half the messages see their first attempt after 0.4 s or more. Ruled out: a leak of connections to endpoints (steady at 138 to 141) and of files (20).

--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -31,6 +31,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -137,13 +138,14 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             // The sockets are limited: the longest idle client makes room, which it may be asked to.
+            idle.add(ctx.channel());
             if (++clients > mostClients) {
-                Channel victim = idle.isEmpty() ? ctx.channel() : idle.iterator().next();
+                Iterator<Channel> longest = idle.iterator();
+                Channel victim = longest.next();
+                // Its end is told only after this burst of connections, each of which needs another victim.
+                longest.remove();
                 victim.close();
             }
-            if (ctx.channel().isActive()) {
-                idle.add(ctx.channel());
-            }
         }
 
         @Override
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -496,6 +497,29 @@
         assertEquals(List.of("one"), calls().stream().map(c -> c.header("X-Call-Id")).toList());
     }
 
+    @Test
+    void silentClientsNeverFillTheDescriptors() throws Exception {
+        start();
+        for (int i = 0; i < 150; i++) {
+            client();
+        }
+        // 256 descriptors, 96 of them for others, half the rest for clients.
+        Stub.await("a third of the descriptors", () -> openClients() == 80);
+    }
+
+    private long openClients() {
+        return clients.stream().filter(client -> {
+            try {
+                client.setSoTimeout(1);
+                return client.getInputStream().read() >= 0;
+            } catch (SocketTimeoutException open) {
+                return true;
+            } catch (IOException closed) {
+                return false;
+            }
+        }).count();
+    }
+
     // ---- the end ----
 
     @Test
