Send what one turn gives one endpoint as one batch call

The module counts the sends of a turn to one endpoint as one call, as the settings allow for the kind (20 messages for school groups), with one slot and one place in the pace. The network code sent each by itself over a connection of its own: up to 20 slots and 20 counts against the school's limit where the module had planned one. ss showed 138 connections to endpoints where 13 slots are allowed.

Ruled out: too few slots by the settings (13 as listed), and the pace's steps (unchanged). An answer that leaves a message out counts as an error, a 400 or 413 to a batch as never sent; a call in it that is cancelled or timed out leaves the rest alone.

--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -1,6 +1,7 @@
 package kestreldeal.net;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -12,6 +13,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
@@ -23,6 +25,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -33,13 +36,16 @@
 import kestreldeal.Relay.Outcome;
 
 /**
- * Calls to endpoints and the connections that they go over: one call each, kept for the next, the newest
- * idle one first. Each call gets one end, never during the call of {@link #call} or {@link #cancel}.
+ * Calls to endpoints and the connections that they go over: one exchange each, kept for the next, the newest
+ * idle one first. The calls of one turn to one endpoint share an exchange, as far as its kind allows. Each
+ * call gets one end, never during {@link #call}, {@link #flush} or {@link #cancel}.
  */
 final class Endpoints {
     /** Idle connections are dropped at this share of the time after which an endpoint drops them. */
     private static final double IDLE_SHARE = 0.8;
     private static final long SWEEP_MS = 500;
+    /** Longest body of an exchange, and longest answer that is read: the protocol's bound for both. */
+    private static final int LONGEST_BODY = 64 * 1024;
 
     /** Told of the end of each call; {@code gone}: the message is over, whatever else is true. */
     interface Ends {
@@ -52,6 +58,8 @@
     private final long idleNanos;
     private final int mostIdle;
     private final Map<Long, Peer> peers = new HashMap<>();
+    /** What this turn has asked for so far. */
+    private final List<Exchange> gathered = new ArrayList<>();
     private int idle;
 
     Endpoints(EventLoop loop, double dialMs, double keepAliveMs, int mostIdle, Ends ends) {
@@ -71,32 +79,44 @@
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** An endpoint is at this address from now on; connections to another one are of no more use. */
-    void at(long endpoint, InetSocketAddress address, boolean serving) {
+    /**
+     * An endpoint is at this address from now on, and takes so many messages in one exchange; connections to
+     * another address are of no more use.
+     */
+    void at(long endpoint, InetSocketAddress address, boolean serving, int batch) {
         Peer peer = peers.computeIfAbsent(endpoint, e -> new Peer());
         if (!serving || !address.equals(peer.address)) {
             closeIdle(endpoint);
         }
         peer.address = address;
+        peer.batch = batch;
     }
 
-    /** Starts a call; its end is told once, within the time-out or soon after. */
+    /** Starts a call, with the next {@link #flush}; its end is told once, within the time-out or soon after. */
     Call call(Held held, int attempt, long endpoint, double timeoutMs) {
-        Call call = new Call(held, attempt, peers.get(endpoint), timeoutMs);
-        call.timer = loop.schedule(call::timedOut, (long) Math.ceil(timeoutMs * 1000), TimeUnit.MICROSECONDS);
-        Connection kept = call.peer.newestIdle();
-        if (kept != null) {
-            call.write(kept);
-        } else {
-            bootstrap.connect(call.peer.address).addListener((ChannelFuture f) -> call.connected(f));
+        Peer peer = peers.get(endpoint);
+        Call call = new Call(held, attempt, timeoutMs);
+        if (peer.gathering == null || !peer.gathering.hasRoom(call)) {
+            peer.gathering = new Exchange(peer);
+            gathered.add(peer.gathering);
         }
+        peer.gathering.add(call);
         return call;
     }
 
-    /** Stops waiting for a call, by closing its connection. */
+    /** The turn is over: what it asked for goes out. */
+    void flush() {
+        for (Exchange exchange : gathered) {
+            exchange.peer.gathering = null;
+            exchange.start();
+        }
+        gathered.clear();
+    }
+
+    /** Stops waiting for a call; its connection is closed when nothing else is waited for on it. */
     void cancel(Call call) {
         call.end(Outcome.CANCELLED);
-        call.close();
+        call.leave();
     }
 
     void closeIdle(long endpoint) {
@@ -122,6 +142,9 @@
 
     private final class Peer {
         InetSocketAddress address;
+        int batch;
+        /** What this turn sends here, as long as it has room. */
+        Exchange gathering;
         final Deque<Connection> idle = new ArrayDeque<>();
 
         Connection newestIdle() {
@@ -137,31 +160,126 @@
         }
     }
 
-    /** One attempt on its way. */
+    /** One attempt of a message on its way. */
     final class Call {
         final Held held;
         final int attempt;
         final long startedNanos = System.nanoTime();
-        private final Peer peer;
         private final double timeoutMs;
-        private Future<?> timer;
-        private Connection connection;
-        /** The last byte is out: from here on it may have run. */
-        private boolean flushed;
+        private final Future<?> timer;
+        private Exchange exchange;
+        /** Its end is found. */
         private boolean done;
+        /** Nobody waits for more of it: it has timed out or is cancelled. */
+        private boolean left;
 
-        private Call(Held held, int attempt, Peer peer, double timeoutMs) {
+        private Call(Held held, int attempt, double timeoutMs) {
             this.held = held;
             this.attempt = attempt;
-            this.peer = peer;
             this.timeoutMs = timeoutMs;
+            this.timer = loop.schedule(this::timedOut, (long) Math.ceil(timeoutMs * 1000),
+                    TimeUnit.MICROSECONDS);
         }
 
-        private void connected(ChannelFuture f) {
+        private void timedOut() {
+            end(exchange.flushed ? Outcome.TIMED_OUT : Outcome.UNREACHABLE);
+            leave();
+        }
+
+        private void leave() {
+            timer.cancel(false);
+            if (!left) {
+                left = true;
+                exchange.left();
+            }
+        }
+
+        private void end(Outcome outcome) {
+            end(outcome, false, 0);
+        }
+
+        private void end(Outcome outcome, boolean gone, double waitMs) {
             if (done) {
+                return;
+            }
+            done = true;
+            // Never at once: an end may be found while the module is being called.
+            loop.execute(() -> ends.ended(this, outcome, gone, waitMs));
+        }
+
+        /** How it ended, by the protocol's word for it. */
+        private void end(String word, double waitMs) {
+            switch (word) {
+                case "accepted" -> end(Outcome.DELIVERED);
+                case "deferred" -> end(Outcome.FULL, false, waitMs);
+                case "expired" -> end(Outcome.NOT_SENT, true, waitMs);
+                case "no_more" -> end(Outcome.NOT_SENT, false, waitMs);
+                default -> end(Outcome.ERROR, false, waitMs);
+            }
+        }
+
+        private byte[] headLine() {
+            return (held.id + " " + held.key.orElse("-") + " " + held.body.length + "\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    /** Calls that travel as one: one request, one answer. */
+    private final class Exchange {
+        private static final String LINE_END = "\r\n";
+
+        private final Peer peer;
+        private final List<Call> calls = new ArrayList<>();
+        private int bytes;
+        private int leftCalls;
+        private Connection connection;
+        /** The last byte is out: from here on it may have run. */
+        private boolean flushed;
+        private double waitMs;
+
+        private Exchange(Peer peer) {
+            this.peer = peer;
+        }
+
+        private boolean hasRoom(Call call) {
+            return calls.size() < peer.batch && bytes + size(call) <= LONGEST_BODY;
+        }
+
+        private int size(Call call) {
+            return call.headLine().length + call.held.body.length + LINE_END.length();
+        }
+
+        private void add(Call call) {
+            call.exchange = this;
+            calls.add(call);
+            bytes += size(call);
+        }
+
+        private void start() {
+            if (nobodyWaits()) {
+                return;
+            }
+            Connection kept = peer.newestIdle();
+            if (kept != null) {
+                write(kept);
+            } else {
+                bootstrap.connect(peer.address).addListener((ChannelFuture f) -> connected(f));
+            }
+        }
+
+        /** What was given up before its first byte is not sent any more. */
+        private boolean nobodyWaits() {
+            calls.removeIf(call -> call.left);
+            leftCalls = 0;
+            return calls.isEmpty();
+        }
+
+        private void connected(ChannelFuture f) {
+            if (nobodyWaits()) {
                 f.channel().close();
             } else if (!f.isSuccess()) {
-                end(Outcome.UNREACHABLE);
+                calls.forEach(call -> call.timer.cancel(false));
+                calls.forEach(call -> call.end(Outcome.UNREACHABLE));
             } else {
                 Connection fresh = f.channel().pipeline().get(Connection.class);
                 fresh.peer = peer;
@@ -171,16 +289,8 @@
 
         private void write(Connection on) {
             connection = on;
-            on.call = this;
-            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
-                    "/v1/messages", Unpooled.wrappedBuffer(held.body));
-            request.headers()
-                    .set(HttpHeaderNames.HOST, hostPort(peer.address))
-                    .set("X-Call-Id", held.id)
-                    .set("X-Budget-Ms", Math.max(1, (long) timeoutMs))
-                    .set(HttpHeaderNames.CONTENT_LENGTH, held.body.length);
-            held.key.ifPresent(key -> request.headers().set("Idempotency-Key", key));
-            on.channel.writeAndFlush(request).addListener(f -> {
+            on.exchange = this;
+            on.channel.writeAndFlush(calls.size() == 1 ? single(calls.get(0)) : several()).addListener(f -> {
                 flushed |= f.isSuccess();
                 if (!f.isSuccess()) {
                     lost();
@@ -189,59 +299,94 @@
             });
         }
 
-        private void timedOut() {
-            end(flushed ? Outcome.TIMED_OUT : Outcome.UNREACHABLE);
-            close();
+        private FullHttpRequest single(Call call) {
+            FullHttpRequest request = request("/v1/messages", Unpooled.wrappedBuffer(call.held.body));
+            request.headers().set("X-Call-Id", call.held.id)
+                    .set("X-Budget-Ms", Math.max(1, (long) call.timeoutMs));
+            call.held.key.ifPresent(key -> request.headers().set("Idempotency-Key", key));
+            return request;
+        }
+
+        private FullHttpRequest several() {
+            ByteBuf body = Unpooled.buffer(bytes);
+            double longest = 1;
+            for (Call call : calls) {
+                body.writeBytes(call.headLine()).writeBytes(call.held.body);
+                body.writeCharSequence(LINE_END, StandardCharsets.ISO_8859_1);
+                longest = Math.max(longest, call.timeoutMs);
+            }
+            FullHttpRequest request = request("/v1/messages:batch", body);
+            request.headers().set("X-Budget-Ms", (long) longest);
+            return request;
+        }
+
+        private FullHttpRequest request(String path, ByteBuf body) {
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, path, body);
+            request.headers().set(HttpHeaderNames.HOST, hostPort(peer.address))
+                    .set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            return request;
         }
 
         /** The connection is gone: whether it may have run hangs on the last byte. */
         private void lost() {
-            end(flushed ? Outcome.BROKEN : Outcome.UNREACHABLE);
+            calls.forEach(call -> call.timer.cancel(false));
+            calls.forEach(call -> call.end(flushed ? Outcome.BROKEN : Outcome.UNREACHABLE));
         }
 
-        /** A connection that has gone on to another call is left alone. */
-        private void close() {
-            if (connection != null && connection.call == this) {
-                connection.close();
+        private void left() {
+            if (++leftCalls == calls.size()) {
+                close();
             }
         }
 
-        private void end(Outcome outcome) {
-            timer.cancel(false);
-            end(outcome, false, 0);
-        }
-
-        private void end(Outcome outcome, boolean gone, double waitMs) {
-            if (done) {
-                return;
+        /** A connection that has gone on to another exchange is left alone. */
+        private void close() {
+            if (connection != null && connection.exchange == this) {
+                connection.close();
             }
-            done = true;
-            // Never at once: an end may be found while the module is being called.
-            loop.execute(() -> ends.ended(this, outcome, gone, waitMs));
         }
 
         /**
-         * What an answer's first line and headers say, by the protocol's table. The time-out runs on, lest a
-         * body that never ends hold the connection for good.
+         * What an answer's first line and headers say, by the protocol's table. The time-outs run on, lest a
+         * body that never ends hold the connection for good. How several messages fared stands in the body.
          */
         private void answered(HttpResponse response) {
             int code = response.status().code();
+            boolean one = calls.size() == 1;
+            waitMs = waitMs(response);
+            if (code == 200 && !one) {
+                return;
+            }
             Outcome outcome = switch (code) {
                 case 200 -> Outcome.DELIVERED;
                 case 429 -> Outcome.FULL;
                 case 503 -> response.headers().contains("X-No-Slot") ? Outcome.NOT_SENT : Outcome.FULL;
                 case 504, 410 -> Outcome.NOT_SENT;
+                case 400, 413 -> one ? Outcome.ERROR : Outcome.NOT_SENT;
                 default -> Outcome.ERROR;
             };
-            end(outcome, code == 410, code == 429 ? waitMs(response) : 0);
+            calls.forEach(call -> call.end(outcome, code == 410, waitMs));
+        }
+
+        /** The answer is whole; a message of which it says nothing readable may have run. */
+        private void whole(ByteBuf answer) {
+            calls.forEach(call -> call.timer.cancel(false));
+            Map<String, String> words = new HashMap<>();
+            for (String line : answer.toString(StandardCharsets.ISO_8859_1).split("\r?\n")) {
+                String[] parts = line.trim().split(" ");
+                if (parts.length == 2) {
+                    words.put(parts[0], parts[1]);
+                }
+            }
+            calls.forEach(call -> call.end(words.getOrDefault(call.held.id, ""), waitMs));
         }
     }
 
-    /** The told wait, rounded up; an unreadable one counts as none. */
+    /** The told wait, in seconds on the wire; an unreadable one counts as none. */
     private static double waitMs(HttpResponse response) {
         try {
-            return Math.max(0, Double.parseDouble(response.headers().get(HttpHeaderNames.RETRY_AFTER, "0"))
-                    * 1000);
+            double seconds = Double.parseDouble(response.headers().get(HttpHeaderNames.RETRY_AFTER, "0"));
+            return Double.isFinite(seconds) ? Math.max(0, seconds * 1000) : 0;
         } catch (NumberFormatException e) {
             return 0;
         }
@@ -251,11 +396,12 @@
         return address.getHostString() + ":" + address.getPort();
     }
 
-    /** A connection to an endpoint; it carries one call at a time. */
+    /** A connection to an endpoint; it carries one exchange at a time. */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
+        private final ByteBuf answer = Unpooled.buffer(0, LONGEST_BODY);
         private Channel channel;
         private Peer peer;
-        private Call call;
+        private Exchange exchange;
         private long idleSince;
         private boolean keep;
         private boolean interim;
@@ -267,7 +413,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
-            if (call == null || part.decoderResult().isFailure()) {
+            if (exchange == null || part.decoderResult().isFailure()) {
                 // Nothing was asked, or what came is not HTTP: the connection can't be trusted any more.
                 ctx.close();
                 return;
@@ -276,13 +422,21 @@
                 interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
                 if (!interim) {
                     // An answer that overtakes its request leaves the connection in the middle of it.
-                    keep = HttpUtil.isKeepAlive(response) && call.flushed;
-                    call.answered(response);
+                    keep = HttpUtil.isKeepAlive(response) && exchange.flushed;
+                    exchange.answered(response);
+                }
+            }
+            if (part instanceof HttpContent content && !interim && exchange.calls.size() > 1) {
+                if (content.content().readableBytes() > answer.maxWritableBytes()) {
+                    ctx.close();
+                    return;
                 }
+                answer.writeBytes(content.content());
             }
             if (part instanceof LastHttpContent && !interim) {
-                call.timer.cancel(false);
-                call = null;
+                exchange.whole(answer);
+                exchange = null;
+                answer.clear();
                 if (keep && idle < mostIdle && ctx.channel().isActive()) {
                     idleSince = System.nanoTime();
                     peer.idle.addLast(this);
@@ -298,8 +452,8 @@
             if (peer != null && peer.idle.remove(this)) {
                 idle--;
             }
-            if (call != null) {
-                call.lost();
+            if (exchange != null) {
+                exchange.lost();
             }
         }
 
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -159,6 +159,7 @@
         } catch (RuntimeException e) {
             fault(e);
         } finally {
+            endpoints.flush();
             turnOpen = false;
         }
     }
@@ -285,8 +286,10 @@
         List<Relay.Endpoint> list = new ArrayList<>();
         for (Discovery.Entry e : entries) {
             long number = endpointNumber(e.id());
-            endpoints.at(number, e.address(), e.serving());
-            list.add(new Relay.Endpoint(number, e.destination(), Math.max(0, config.kinds().indexOf(e.kind())),
+            int kind = Math.max(0, config.kinds().indexOf(e.kind()));
+            List<Relay.Kind> kinds = config.settings().kinds();
+            endpoints.at(number, e.address(), e.serving(), kinds.get(Math.min(kind, kinds.size() - 1)).batch());
+            list.add(new Relay.Endpoint(number, e.destination(), kind,
                     Math.max(0, config.zones().indexOf(e.zone())), e.serving(), e.weight()));
         }
         event(() -> relay.endpoints(openTurn(), whole, list));
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -10,6 +10,9 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -47,12 +50,16 @@
     }
 
     private void at(InetSocketAddress address) {
-        loop.submit(() -> endpoints.at(1, address, true)).syncUninterruptibly();
+        loop.submit(() -> endpoints.at(1, address, true, 3)).syncUninterruptibly();
     }
 
     private Endpoints.Call start(byte[] body, double timeoutMs) throws Exception {
         Held held = new Held(1, "id-1", "order", "t", Optional.of("key-1"), Optional.empty(), 7, 0, body);
-        return loop.submit(() -> endpoints.call(held, 0, 1, timeoutMs)).get();
+        return loop.submit(() -> {
+            Endpoints.Call call = endpoints.call(held, 0, 1, timeoutMs);
+            endpoints.flush();
+            return call;
+        }).get();
     }
 
     private End end() throws Exception {
@@ -143,6 +150,79 @@
         assertEquals(1, stub.requests.get(1).connection());
     }
 
+    /** Ends of calls that share an exchange, in the order of their ids. */
+    private List<End> together(int many, Stub.Script script) throws Exception {
+        stub.script(script);
+        startTogether(many);
+        List<End> in = new ArrayList<>();
+        for (int i = 0; i < many; i++) {
+            in.add(end());
+        }
+        return in;
+    }
+
+    private List<Endpoints.Call> startTogether(int many) throws Exception {
+        return loop.submit(() -> {
+            List<Endpoints.Call> calls = new ArrayList<>();
+            for (int i = 0; i < many; i++) {
+                Held held = new Held(i, "id-" + i, "order", "t", i == 1 ? Optional.empty() : Optional.of("key-" + i),
+                        Optional.empty(), 7, 0, ("body\r\n" + i).getBytes(StandardCharsets.ISO_8859_1));
+                calls.add(endpoints.call(held, 0, 1, LONG_MS));
+            }
+            endpoints.flush();
+            return calls;
+        }).get();
+    }
+
+    private static Stub.Script answer(String headers, String body) {
+        return (request, socket) -> Stub.write(socket, "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: "
+                + body.length() + "\r\n\r\n" + body);
+    }
+
+    @Test
+    void callsOfOneTurnToOneEndpointTravelAsOneAsFarAsItsKindAllows() throws Exception {
+        List<End> in = together(3, answer("Retry-After: 0.5\r\n",
+                "id-2 fault\r\nid-0 accepted\r\nid-1 deferred\r\n"));
+        assertEquals(List.of(new End(Outcome.DELIVERED, false, 0), new End(Outcome.FULL, false, 500),
+                new End(Outcome.ERROR, false, 500)), in);
+        assertEquals(1, stub.requests.size());
+        assertEquals("POST /v1/messages:batch HTTP/1.1", stub.requests.get(0).line());
+        assertEquals("id-0 key-0 7\r\nbody\r\n0\r\nid-1 - 7\r\nbody\r\n1\r\nid-2 key-2 7\r\nbody\r\n2\r\n",
+                stub.requests.get(0).body());
+        startTogether(4);
+        Stub.await("three as one, and the fourth", () -> stub.requests.size() == 3);
+        assertEquals(1, stub.requests.stream().filter(r -> r.line().startsWith("POST /v1/messages ")).count());
+    }
+
+    @Test
+    void anExchangeThatFailsWholeEndsAllItsCallsAlike() throws Exception {
+        End full = new End(Outcome.FULL, false, 1250);
+        assertEquals(List.of(full, full), together(2, Stub.status(429, "Retry-After: 1.25\r\n")));
+        End never = new End(Outcome.NOT_SENT, false, 0);
+        assertEquals(List.of(never, never), together(2, Stub.status(413, "")));
+        assertEquals(List.of(never, new End(Outcome.NOT_SENT, true, 0)),
+                together(2, answer("", "id-0 no_more\r\nid-1 expired\r\n")));
+        End unknown = new End(Outcome.ERROR, false, 0);
+        assertEquals(List.of(new End(Outcome.DELIVERED, false, 0), unknown),
+                together(2, answer("", "id-0 accepted\r\nrubbish\r\nid-1 perhaps\r\n")));
+        End broken = new End(Outcome.BROKEN, false, 0);
+        assertEquals(List.of(broken, broken), together(2, (request, socket) -> {
+            Stub.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nid-0 accepted\r\n");
+            socket.close();
+        }));
+    }
+
+    @Test
+    void aCancelledCallLeavesTheOthersOfItsExchangeAlone() throws Exception {
+        stub.script(Stub.silent());
+        List<Endpoints.Call> calls = startTogether(2);
+        Stub.await("the exchange arrives", () -> !stub.requests.isEmpty());
+        loop.submit(() -> endpoints.cancel(calls.get(0))).syncUninterruptibly();
+        assertEquals(new End(Outcome.CANCELLED, false, 0), end());
+        stub.answerAll("HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\nid-0 accepted\r\nid-1 accepted\r\n");
+        assertEquals(new End(Outcome.DELIVERED, false, 0), end());
+    }
+
     @Test
     void aConnectionIsKeptForTheNextCallAfterAnyWholeAnswer() throws Exception {
         expect(Outcome.DELIVERED, (request, socket) -> {
@@ -176,7 +256,7 @@
     void aDrainingOrMovedEndpointsIdleConnectionsAreClosed() throws Exception {
         expect(Outcome.DELIVERED, Stub.status(200, ""));
         awaitKept();
-        loop.submit(() -> endpoints.at(1, stub.address(), false)).syncUninterruptibly();
+        loop.submit(() -> endpoints.at(1, stub.address(), false, 3)).syncUninterruptibly();
         assertEquals(0, kept());
     }
 
