Refuse at the door messages for a destination that no list has named

Such a message was taken on, journalled and held until its time was up (D70000 in the queue by destination); peers send them, none of whose messages may be taken on. It is answered 503, since a list may be late: handing it in again does no harm.

--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -65,6 +65,9 @@
 
         boolean needsKey(String messageClass);
 
+        /** Whether the list has ever named an endpoint of this destination: others could only run out of time. */
+        boolean knowsDestination(long destination);
+
         /** Journals a message, or refuses it by an empty answer; a message that is held already is kept. */
         Optional<Held> take(Submission submission);
 
@@ -181,6 +184,11 @@
                 end(ctx, request, HttpResponseStatus.BAD_REQUEST, bad.getMessage(), false);
                 return;
             }
+            if (!desk.knowsDestination(submission.destination())) {
+                // The list may be late, so it may be handed in again.
+                end(ctx, request, HttpResponseStatus.SERVICE_UNAVAILABLE, "no endpoint of this dest is listed", false);
+                return;
+            }
             Optional<Held> taken = desk.take(submission);
             if (taken.isEmpty()) {
                 end(ctx, request, HttpResponseStatus.SERVICE_UNAVAILABLE, "no room", false);
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -8,9 +8,11 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import kestreldeal.BadInput;
@@ -38,6 +40,8 @@
     private final long startNanos = System.nanoTime();
     private final Map<String, Long> endpointNumbers = new HashMap<>();
     private final Map<Long, String> endpointIds = new HashMap<>();
+    /** Destinations that the list has named since the start. */
+    private final Set<Long> destinations = new HashSet<>();
     /** What is held and not over, by the module's number, and by the client's id. */
     private final Map<Long, Held> open = new HashMap<>();
     private final Map<String, Held> byId = new HashMap<>();
@@ -286,6 +290,7 @@
         List<Relay.Endpoint> list = new ArrayList<>();
         for (Discovery.Entry e : entries) {
             long number = endpointNumber(e.id());
+            destinations.add(e.destination());
             int kind = Math.max(0, config.kinds().indexOf(e.kind()));
             List<Relay.Kind> kinds = config.settings().kinds();
             endpoints.at(number, e.address(), e.serving(), kinds.get(Math.min(kind, kinds.size() - 1)).batch());
@@ -330,6 +335,11 @@
                     == Relay.Effect.KEYED;
         }
 
+        @Override
+        public boolean knowsDestination(long destination) {
+            return destinations.contains(destination);
+        }
+
         @Override
         public Optional<Held> take(Intake.Submission s) {
             Held known = byId.get(s.id());
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -425,6 +425,7 @@
                 Map.entry(good.replace("X-Budget-Ms: 24000", "X-Budget-Ms: -1"), "400"),
                 Map.entry(good.replace("dest=7", "dest=x"), "400"),
                 Map.entry(good.replace("dest=7", "nothing"), "400"),
+                Map.entry(good.replace("dest=7", "dest=70000"), "503"),
                 Map.entry(good.replace("X-Caller: acme", "X-Caller: nobody"), "400"),
                 Map.entry(good.replace("Idempotency-Key: key-id\r\n", ""), "400"),
                 Map.entry(good.replace("X-Call-Class: order", "X-Call-Class: once"), "400"),
