End clients whose request is not whole within 2 s

The deadline runs from the connection's start, or from the first byte of a later request; between requests a connection may idle for 10 s.

Ruled out: peers that send fast but ill-formed requests: all have their error at once.

--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -28,6 +29,7 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -45,8 +47,10 @@
  */
 final class Intake {
     private static final int LONGEST_BODY = 64 * 1024;
-    /** A connection without traffic for so long is closed, lest half a request hold it for good. */
-    private static final int IDLE_S = 60;
+    /** A connection between requests is closed after so long. */
+    private static final int IDLE_S = 10;
+    /** A request must be whole so soon after the connection came up, or after its first byte. */
+    private static final long REQUEST_MS = 2000;
 
     /** What a request asks to be delivered. */
     record Submission(String id, String messageClass, String tenant, Optional<String> key,
@@ -92,13 +96,18 @@
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_S), new HttpServerCodec(),
-                                new Bodies(), new Client());
-                    }
-                });
+                .childHandler(pipeline());
+    }
+
+    /** What each connection goes through. */
+    ChannelInitializer<Channel> pipeline() {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_S), new Deadline(),
+                        new HttpServerCodec(), new Bodies(), new Client());
+            }
+        };
     }
 
     /** Begins to listen, and waits until it does: so it is not called on the loop. */
@@ -121,6 +130,42 @@
         return clients;
     }
 
+    /** Ends a connection whose request does not become whole in time: silent, slow or cut off half way. */
+    private final class Deadline extends ChannelInboundHandlerAdapter {
+        private Future<?> timer;
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            begin(ctx);
+            ctx.fireChannelActive();
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            begin(ctx);
+            ctx.fireChannelRead(bytes);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            whole();
+            ctx.fireChannelInactive();
+        }
+
+        private void begin(ChannelHandlerContext ctx) {
+            if (timer == null) {
+                timer = ctx.executor().schedule(() -> ctx.close(), REQUEST_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        void whole() {
+            if (timer != null) {
+                timer.cancel(false);
+                timer = null;
+            }
+        }
+    }
+
     /** Collects bodies; a longer one is answered 413, and what the client still sends is read and dropped. */
     private static final class Bodies extends HttpObjectAggregator {
         Bodies() {
@@ -159,6 +204,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            ctx.pipeline().get(Deadline.class).whole();
             idle.remove(ctx.channel());
             String path = request.uri().split("\\?", 2)[0];
             if (request.decoderResult().isFailure()) {
--- /dev/null
+++ b/src/test/java/kestreldeal/net/IntakeTest.java
@@ -0,0 +1,122 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** The client side by itself, on a clock that the test moves. */
+class IntakeTest {
+    private final List<String> taken = new ArrayList<>();
+
+    private final Intake.Desk desk = new Intake.Desk() {
+        @Override
+        public boolean ready() {
+            return true;
+        }
+
+        @Override
+        public boolean knowsClass(String name) {
+            return name.equals("order");
+        }
+
+        @Override
+        public boolean knowsTenant(String name) {
+            return true;
+        }
+
+        @Override
+        public boolean needsKey(String messageClass) {
+            return false;
+        }
+
+        @Override
+        public boolean knowsDestination(long destination) {
+            return true;
+        }
+
+        @Override
+        public Optional<Held> take(Intake.Submission s) {
+            taken.add(s.id());
+            return Optional.of(new Held(taken.size(), s.id(), s.messageClass(), s.tenant(), s.key(), s.thread(),
+                    s.destination(), s.budgetMs(), s.body()));
+        }
+
+        @Override
+        public void answered(Held held, boolean heard) {
+            // Nothing hangs on it here.
+        }
+    };
+
+    private EmbeddedChannel client() {
+        EmbeddedChannel client = new EmbeddedChannel();
+        client.freezeTime();
+        client.pipeline().addLast(new Intake(new DefaultEventLoop(), 10, desk).pipeline());
+        client.pipeline().fireChannelActive();
+        return client;
+    }
+
+    private static void send(EmbeddedChannel client, String text) {
+        client.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+    }
+
+    private static void pass(EmbeddedChannel client, long ms) {
+        client.advanceTimeBy(ms, TimeUnit.MILLISECONDS);
+        client.runPendingTasks();
+    }
+
+    private static String request(String id, int length) {
+        return "POST /order HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Call-Class: order\r\n"
+                + "X-Budget-Ms: 900\r\nX-Envelope: dest=7\r\nContent-Length: " + length + "\r\n\r\n";
+    }
+
+    @Test
+    void aClientThatSendsNothingIsClosedInTime() {
+        EmbeddedChannel silent = client();
+        pass(silent, 1900);
+        assertTrue(silent.isOpen());
+        pass(silent, 200);
+        assertFalse(silent.isOpen());
+    }
+
+    @Test
+    void aRequestThatNeverBecomesWholeIsClosedInTimeHoweverOftenBytesCome() {
+        EmbeddedChannel slow = client();
+        for (char c : (request("slow", 10) + "five").substring(0, 20).toCharArray()) {
+            assertTrue(slow.isOpen());
+            send(slow, String.valueOf(c));
+            pass(slow, 100);
+        }
+        assertFalse(slow.isOpen());
+        EmbeddedChannel half = client();
+        send(half, request("half", 10) + "five");
+        pass(half, 2100);
+        assertFalse(half.isOpen());
+        assertEquals(List.of(), taken);
+    }
+
+    @Test
+    void eachLaterRequestHasADeadlineFromItsFirstByteOn() {
+        EmbeddedChannel kept = client();
+        for (int i = 0; i < 3; i++) {
+            send(kept, request("id-" + i, 0));
+            pass(kept, 5000);
+            assertTrue(kept.isOpen(), "no request is open");
+        }
+        send(kept, request("half", 10));
+        pass(kept, 1900);
+        assertTrue(kept.isOpen());
+        pass(kept, 200);
+        assertFalse(kept.isOpen());
+        assertEquals(List.of("id-0", "id-1", "id-2"), taken);
+    }
+}
