Hold a key in order until the batch call that its message has left is over

A message may time out in a batch call while others of it are still waited for: its connection stays open, so for the endpoint the attempt is out, yet the module let the next message of the key go. The end of such an attempt is told as before, at once; the key now waits for callClosed.

Ruled out: cancelled copies (fee payments have none), and a close that races the next call (single calls close before the end is told).

--- a/src/main/java/kestreldeal/Drill.java
+++ b/src/main/java/kestreldeal/Drill.java
@@ -191,7 +191,8 @@
         boolean finished = f.whole("no_more") != 0;
         double note = f.numberOr("hold_ms", 0);
         double wait = outcome == Relay.Outcome.FULL ? note : 0;
-        Relay.AttemptEnd end = new Relay.AttemptEnd(message, attempt, outcome, took, finished, wait);
+        Relay.AttemptEnd end = new Relay.AttemptEnd(message, attempt, outcome, took, finished, wait,
+                false);
         return () -> relay(instance).attemptEnded(now, end);
     }
 
--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -233,7 +233,11 @@
         d.refused = end.outcome() == Outcome.FULL;
         d.out--;
         attempt.call.ifPresent(call -> call.itemEnded(end));
-        keys.attemptEnded(d, end.outcome());
+        if (end.open()) {
+            d.openCalls++;
+        } else {
+            keys.attemptEnded(d, end.outcome());
+        }
         if (end.finished()) {
             close(d);
         }
@@ -244,6 +248,21 @@
         }
     }
 
+    /** Until now the attempt could still run, so its key had to wait. */
+    @Override
+    public void callClosed(double now, long message) {
+        tick(now);
+        Delivery d = deliveries.get(message);
+        if (d == null || d.openCalls == 0) {
+            throw new IllegalArgumentException("no open call of message " + message);
+        }
+        d.openCalls--;
+        keys.attemptEnded(d, Outcome.TIMED_OUT);
+        if (d.ended) {
+            forget(d);
+        }
+    }
+
     @Override
     public void withdrawn(double now, long message) {
         tick(now);
@@ -466,7 +485,7 @@
     }
 
     private void forget(Delivery d) {
-        if (d.out == 0) {
+        if (d.out == 0 && d.openCalls == 0) {
             deliveries.remove(d.message.id());
         }
     }
@@ -493,6 +512,8 @@
         int waves;
         boolean refused;
         int out;
+        /** Attempts that have ended, but whose call is still out for others. */
+        int openCalls;
         boolean ended;
 
         Delivery(Message message) {
@@ -1038,7 +1059,7 @@
         }
 
         boolean mayGo(Delivery d) {
-            return line(d).map(l -> l.waiting.peek() == d && l.out == d.out && l.restUntil <= clock)
+            return line(d).map(l -> l.waiting.peek() == d && l.out == d.out + d.openCalls && l.restUntil <= clock)
                     .orElse(true);
         }
 
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -53,6 +53,11 @@
      */
     void attemptEnded(double now, AttemptEnd end);
 
+    /**
+     * The call of an attempt that had ended while it was open is over now: nothing of it can still run there.
+     */
+    void callClosed(double now, long message);
+
     /** Nobody waits for this message any more; no answer is owed. */
     void withdrawn(double now, long message);
 
@@ -152,10 +157,11 @@
 
     /**
      * The end of one attempt. {@code finished} tells that the message needs no further answer; {@code waitMs}
-     * is the wait that a full destination told, or 0.
+     * is the wait that a full destination told, or 0. {@code open} tells that its call is still out for other
+     * messages: {@link Relay#callClosed} follows.
      */
     record AttemptEnd(long message, int attempt, Outcome outcome, double tookMs, boolean finished,
-            double waitMs) {
+            double waitMs, boolean open) {
     }
 
     /** What worth falls to after the aim: evenly to the last, or by half with each further aim. */
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -47,9 +47,15 @@
     /** Longest body of an exchange, and longest answer that is read: the protocol's bound for both. */
     private static final int LONGEST_BODY = 64 * 1024;
 
-    /** Told of the end of each call; {@code gone}: the message is over, whatever else is true. */
     interface Ends {
-        void ended(Call call, Outcome outcome, boolean gone, double waitMs);
+        /**
+         * Told of the end of each call. {@code gone}: the message is over, whatever else is true; {@code open}:
+         * its exchange is still out for other calls.
+         */
+        void ended(Call call, Outcome outcome, boolean gone, double waitMs, boolean open);
+
+        /** The exchange of a call that ended while it was open is over. */
+        void closed(Call call);
     }
 
     private final EventLoop loop;
@@ -115,8 +121,7 @@
 
     /** Stops waiting for a call; its connection is closed when nothing else is waited for on it. */
     void cancel(Call call) {
-        call.end(Outcome.CANCELLED);
-        call.leave();
+        call.leave(Outcome.CANCELLED);
     }
 
     void closeIdle(long endpoint) {
@@ -172,6 +177,8 @@
         private boolean done;
         /** Nobody waits for more of it: it has timed out or is cancelled. */
         private boolean left;
+        /** Its end was told while its exchange was out. */
+        private boolean toldOpen;
 
         private Call(Held held, int attempt, double timeoutMs) {
             this.held = held;
@@ -182,15 +189,20 @@
         }
 
         private void timedOut() {
-            end(exchange.flushed ? Outcome.TIMED_OUT : Outcome.UNREACHABLE);
-            leave();
+            leave(exchange.flushed ? Outcome.TIMED_OUT : Outcome.UNREACHABLE);
         }
 
-        private void leave() {
+        private void leave(Outcome outcome) {
             timer.cancel(false);
-            if (!left) {
-                left = true;
-                exchange.left();
+            if (left) {
+                return;
+            }
+            left = true;
+            boolean last = ++exchange.leftCalls == exchange.calls.size();
+            toldOpen = !done && !last && exchange.connection != null;
+            end(outcome);
+            if (last) {
+                exchange.close();
             }
         }
 
@@ -204,7 +216,8 @@
             }
             done = true;
             // Never at once: an end may be found while the module is being called.
-            loop.execute(() -> ends.ended(this, outcome, gone, waitMs));
+            boolean open = toldOpen;
+            loop.execute(() -> ends.ended(this, outcome, gone, waitMs, open));
         }
 
         /** How it ended, by the protocol's word for it. */
@@ -331,18 +344,23 @@
         private void lost() {
             calls.forEach(call -> call.timer.cancel(false));
             calls.forEach(call -> call.end(flushed ? Outcome.BROKEN : Outcome.UNREACHABLE));
-        }
-
-        private void left() {
-            if (++leftCalls == calls.size()) {
-                close();
-            }
+            over();
         }
 
         /** A connection that has gone on to another exchange is left alone. */
         private void close() {
             if (connection != null && connection.exchange == this) {
                 connection.close();
+                over();
+            }
+        }
+
+        private void over() {
+            for (Call call : calls) {
+                if (call.toldOpen) {
+                    call.toldOpen = false;
+                    loop.execute(() -> ends.closed(call));
+                }
             }
         }
 
@@ -379,6 +397,7 @@
                 }
             }
             calls.forEach(call -> call.end(words.getOrDefault(call.held.id, ""), waitMs));
+            over();
         }
     }
 
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -98,7 +98,7 @@
         int slots = config.settings().slots();
         int mostIdle = Math.max(1, sockets / 2 - slots);
         endpoints = new Endpoints(loop, config.dialMs(), config.settings().keepAliveMs(), mostIdle,
-                this::attemptEnded);
+                new Ends());
         notices = new Notices(loop, new Agent(loop, config.discovery()), this::heard);
         intake = new Intake(loop, sockets / 2, new Clients());
         new Discovery(loop, new Agent(loop, config.discovery()), this::listed).start(config.known());
@@ -194,7 +194,7 @@
             // Unrecorded it could run twice: it is not made.
             Log.line("no attempt without the journal: " + e.getMessage());
             held.attempts.add(attempt);
-            loop.execute(() -> attemptEnded(held, number, Relay.Outcome.NOT_SENT, false, 0, 0));
+            loop.execute(() -> attemptEnded(held, number, Relay.Outcome.NOT_SENT, false, 0, 0, false));
             return;
         }
         calls.put(new Out(message, number), endpoints.call(held, number, endpoint, timeoutMs));
@@ -247,14 +247,23 @@
 
     // ---- what the module is told ----
 
-    private void attemptEnded(Endpoints.Call call, Relay.Outcome outcome, boolean gone, double waitMs) {
-        calls.remove(new Out(call.held.number, call.attempt));
-        double took = (System.nanoTime() - call.startedNanos) / 1e6;
-        attemptEnded(call.held, call.attempt, outcome, gone, waitMs, took);
+    /** The endpoints' side. */
+    private final class Ends implements Endpoints.Ends {
+        @Override
+        public void ended(Endpoints.Call call, Relay.Outcome outcome, boolean gone, double waitMs, boolean open) {
+            calls.remove(new Out(call.held.number, call.attempt));
+            double took = (System.nanoTime() - call.startedNanos) / 1e6;
+            attemptEnded(call.held, call.attempt, outcome, gone, waitMs, took, open);
+        }
+
+        @Override
+        public void closed(Endpoints.Call call) {
+            event(() -> relay.callClosed(openTurn(), call.held.number));
+        }
     }
 
     private void attemptEnded(Held held, int attempt, Relay.Outcome outcome, boolean gone, double waitMs,
-            double took) {
+            double took, boolean open) {
         try {
             if (!held.over && (gone || outcome == Relay.Outcome.DELIVERED)) {
                 over(held);
@@ -268,7 +277,7 @@
         }
         boolean finished = held.over;
         event(() -> relay.attemptEnded(openTurn(), new Relay.AttemptEnd(held.number, attempt, outcome, took,
-                finished, waitMs)));
+                finished, waitMs, open)));
     }
 
     private void over(Held held) {
