Hold a key in order until the notice of the message before it is answered

PROTOCOL: a message that ends by a notice is over when the notice is answered. The module let the key go on as soon as it had given the answer, so the next message could reach an endpoint before the platform had the notice. refuse and fail now tell whether that is heard at once (on the simulator's wire it is); else the key waits for heard. A notice owed from an earlier life holds its key too.

Ruled out: the thread parameter (mended before) and calls still out (the break names the message, not a call).

--- a/src/main/java/kestreldeal/Drill.java
+++ b/src/main/java/kestreldeal/Drill.java
@@ -242,13 +242,15 @@
         }
 
         @Override
-        public void refuse(long message, double waitMs) {
+        public boolean refuse(long message, double waitMs) {
             action("BOUNCE", instance, message, waitMs);
+            return true;
         }
 
         @Override
-        public void fail(long message) {
+        public boolean fail(long message) {
             action("DROP_REQUEST", instance, message);
+            return true;
         }
 
         @Override
--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -263,6 +263,27 @@
         }
     }
 
+    @Override
+    public void unheard(double now, Message message) {
+        tick(now);
+        Delivery d = new Delivery(message);
+        d.ended = true;
+        d.unheard = true;
+        deliveries.put(message.id(), d);
+        keys.taken(d);
+    }
+
+    @Override
+    public void heard(double now, long message) {
+        tick(now);
+        Delivery d = deliveries.get(message);
+        if (d != null && d.unheard) {
+            d.unheard = false;
+            keys.ended(d);
+            forget(d);
+        }
+    }
+
     @Override
     public void withdrawn(double now, long message) {
         tick(now);
@@ -461,9 +482,9 @@
         boolean repeatable = d.type.effect() == Effect.SAFE
                 || d.type.effect() == Effect.KEYED && !d.type.sameZone();
         if (repeatable || d.attempts.stream().noneMatch(a -> a.out || a.mayHaveRun)) {
-            actions.refuse(d.message.id(), Math.max(0, d.destination.opensAt() - clock));
+            d.unheard = !actions.refuse(d.message.id(), Math.max(0, d.destination.opensAt() - clock));
         } else {
-            actions.fail(d.message.id());
+            d.unheard = !actions.fail(d.message.id());
         }
         close(d);
         forget(d);
@@ -476,7 +497,9 @@
         }
         d.ended = true;
         dequeue(d);
-        keys.ended(d);
+        if (!d.unheard) {
+            keys.ended(d);
+        }
         for (int i = 0; i < d.attempts.size(); i++) {
             if (d.attempts.get(i).out && settings.cancels()) {
                 actions.cancel(d.message.id(), i);
@@ -485,7 +508,7 @@
     }
 
     private void forget(Delivery d) {
-        if (d.out == 0 && d.openCalls == 0) {
+        if (d.out == 0 && d.openCalls == 0 && !d.unheard) {
             deliveries.remove(d.message.id());
         }
     }
@@ -515,6 +538,8 @@
         /** Attempts that have ended, but whose call is still out for others. */
         int openCalls;
         boolean ended;
+        /** Ended by an answer that nobody has heard yet, until when its key waits. */
+        boolean unheard;
 
         Delivery(Message message) {
             this.message = message;
@@ -1059,8 +1084,8 @@
         }
 
         boolean mayGo(Delivery d) {
-            return line(d).map(l -> l.waiting.peek() == d && l.out == d.out + d.openCalls && l.restUntil <= clock)
-                    .orElse(true);
+            return line(d).map(l -> l.waiting.peek() == d && l.out == d.out + d.openCalls
+                    && l.restUntil <= clock).orElse(true);
         }
 
         void attemptSent(Delivery d) {
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -58,6 +58,15 @@
      */
     void callClosed(double now, long message);
 
+    /**
+     * A message that an earlier life of this sender took and answered by refusing or failing it, which nobody
+     * has heard yet. It comes in the order taken, as with {@link #resumed}; {@link #heard} follows.
+     */
+    void unheard(double now, Message message);
+
+    /** The final answer of a message has been heard, so it is over; of what is not known, nothing hangs on it. */
+    void heard(double now, long message);
+
     /** Nobody waits for this message any more; no answer is owed. */
     void withdrawn(double now, long message);
 
@@ -83,11 +92,12 @@
 
         /**
          * Final: handed back, and trying again is harmless; the client should stay away for the given time.
+         * Tells whether that is heard, and the message over, at once; else {@link Relay#heard} follows.
          */
-        void refuse(long message, double waitMs);
+        boolean refuse(long message, double waitMs);
 
-        /** Final: given up, with no promise about its effect. */
-        void fail(long message);
+        /** Final: given up, with no promise about its effect. Heard as with {@link #refuse}. */
+        boolean fail(long message);
 
         /** Call {@link Relay#wake} in a turn at or soon after this time. */
         void wakeAt(double time);
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -115,6 +115,9 @@
         for (Held held : journal.held()) {
             int messageClass = config.classes().indexOf(held.messageClass);
             if (held.over) {
+                if (messageClass >= 0) {
+                    relay.unheard(openTurn(), message(held, messageClass, held.deadlineMs - wall));
+                }
                 notices.owe(held);
                 continue;
             }
@@ -214,13 +217,15 @@
     }
 
     @Override
-    public void refuse(long message, double waitMs) {
+    public boolean refuse(long message, double waitMs) {
         end(open.get(message), new Held.Notice(true, waitMs));
+        return false;
     }
 
     @Override
-    public void fail(long message) {
+    public boolean fail(long message) {
         end(open.get(message), new Held.Notice(false, 0));
+        return false;
     }
 
     @Override
@@ -286,7 +291,13 @@
         byId.remove(held.id);
     }
 
+    /** The platform has answered the notice: only now is the message over. */
     private void heard(Held held) {
+        forget(held);
+        event(() -> relay.heard(openTurn(), held.number));
+    }
+
+    private void forget(Held held) {
         try {
             journal.ended(held);
         } catch (IOException e) {
@@ -379,7 +390,7 @@
             if (!heard) {
                 // A client that never heard of its being taken is owed nothing, and will come again.
                 over(held);
-                Sender.this.heard(held);
+                forget(held);
                 return;
             }
             int messageClass = config.classes().indexOf(held.messageClass);
--- a/src/test/java/kestreldeal/Bench.java
+++ b/src/test/java/kestreldeal/Bench.java
@@ -36,6 +36,7 @@
     final Relay relay;
     Consumer<Sent> onSend = s -> { };
     boolean strict;
+    boolean heardAtOnce = true;
     double listedRate;
     double now;
 
@@ -251,7 +252,7 @@
     }
 
     @Override
-    public void refuse(long message, double waitMs) {
+    public boolean refuse(long message, double waitMs) {
         waits.add(waitMs);
         if (strict) {
             Effect effect = LogicTest.CLASSES.get(messages.get(message).messageClass()).effect();
@@ -259,17 +260,18 @@
                 assertFalse(ends.get(message + "/" + i).mayHaveRun(), "refused though it may have run");
             }
         }
-        answer("refuse ", message);
+        return answer("refuse ", message);
     }
 
     @Override
-    public void fail(long message) {
-        answer("fail ", message);
+    public boolean fail(long message) {
+        return answer("fail ", message);
     }
 
-    private void answer(String what, long message) {
+    private boolean answer(String what, long message) {
         assertTrue(over.add(message), "a second answer");
         answers.add(what + message);
+        return heardAtOnce;
     }
 
     @Override
--- a/src/test/java/kestreldeal/ExampleTest.java
+++ b/src/test/java/kestreldeal/ExampleTest.java
@@ -45,13 +45,13 @@
         }
 
         @Override
-        public void refuse(long message, double waitMs) {
-            done.add("refuse " + message);
+        public boolean refuse(long message, double waitMs) {
+            return done.add("refuse " + message);
         }
 
         @Override
-        public void fail(long message) {
-            done.add("fail " + message);
+        public boolean fail(long message) {
+            return done.add("fail " + message);
         }
 
         @Override
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import kestreldeal.Relay.Effect;
 import kestreldeal.Relay.Outcome;
@@ -760,6 +761,26 @@
         assertEquals(List.of("refuse 1"), b.answers);
     }
 
+    @Test
+    void aKeyInOrderWaitsUntilTheAnswerOfTheOneBeforeIsHeard() {
+        Bench b = new Bench().list(1, 10);
+        b.heardAtOnce = false;
+        b.relay.unheard(b.now, new Relay.Message(9, UNSAFE, 0, Optional.of("key"), 100, 1));
+        b.take(1, UNSAFE, 1, "key");
+        b.take(2, UNSAFE, 1, "key");
+        assertEquals(List.of(), b.sent(), "what an earlier life ended is not heard yet");
+        b.relay.heard(b.now, 9);
+        b.relay.endTurn(b.now);
+        assertEquals(List.of(1L), b.sent());
+        b.end(1, 0, Outcome.ERROR);
+        assertEquals(List.of("fail 1"), b.answers);
+        b.until(5000);
+        assertEquals(List.of(1L), b.sent());
+        b.relay.heard(b.now, 1);
+        b.relay.endTurn(b.now);
+        assertEquals(List.of(1L, 2L), b.sent());
+    }
+
     @Test
     void aKeyInOrderWaitsForACallThatIsStillOutForOthers() {
         Bench b = new Bench().list(1, 10);
