Take SIGHUP, and move to the discovery address of the replaced configuration

The file's discovery is now taken over for the list, which is asked for whole, and for notices; a file that can't be read leaves the old address.

Ruled out: a fault of the program's own (the exit code is the signal's, and no log line came before it).

--- a/src/main/java/kestreldeal/net/Agent.java
+++ b/src/main/java/kestreldeal/net/Agent.java
@@ -30,7 +30,7 @@
     private static final int CONNECT_MS = 1000;
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final Bootstrap bootstrap;
     private Channel channel;
     private Request current;
@@ -91,6 +91,17 @@
         });
     }
 
+    /** The agent is at another address from now on; a request that is out is given up, as if unanswered. */
+    void moved(InetSocketAddress to) {
+        address = to;
+        if (current != null) {
+            fail(current);
+        } else if (channel != null) {
+            channel.close();
+            channel = null;
+        }
+    }
+
     private void fail(Request request) {
         if (channel != null) {
             channel.close();
--- a/src/main/java/kestreldeal/net/Config.java
+++ b/src/main/java/kestreldeal/net/Config.java
@@ -28,8 +28,7 @@
     private static final double MOST_DISK_MB = 12;
 
     static Config read(Map<String, String> env) throws IOException, BadInput {
-        JsonNode json = JsonMapper.builder().build().readTree(Files.readAllBytes(
-                Path.of(required(env, "GW_CONFIG"))));
+        JsonNode json = json(env);
         Map<String, String> values = new HashMap<>();
         flatten("", json.path("settings"), values);
         Params settings = new Params(values);
@@ -54,6 +53,15 @@
                         ? Optional.of(json.path("known")) : Optional.empty());
     }
 
+    /** Where the configuration, which may be another by now, puts discovery. */
+    static InetSocketAddress discovery(Map<String, String> env) throws IOException, BadInput {
+        return address(json(env).path("discovery").asText());
+    }
+
+    private static JsonNode json(Map<String, String> env) throws IOException, BadInput {
+        return JsonMapper.builder().build().readTree(Files.readAllBytes(Path.of(required(env, "GW_CONFIG"))));
+    }
+
     /** An address as {@code 10.0.0.4:7070}; there is no DNS, so a host name is an error. */
     static InetSocketAddress address(String text) throws BadInput {
         int cut = text.lastIndexOf(':');
--- a/src/main/java/kestreldeal/net/Discovery.java
+++ b/src/main/java/kestreldeal/net/Discovery.java
@@ -59,6 +59,12 @@
         ask("/v1/servers", 0);
     }
 
+    /** Discovery is at another address: its list is asked for whole, as it may count in another way. */
+    void moved(InetSocketAddress to) {
+        generation = -1;
+        agent.moved(to);
+    }
+
     private void ask(String path, long waitMs) {
         agent.ask(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path), waitMs + SILENT_MS,
                 this::answered);
--- a/src/main/java/kestreldeal/net/Notices.java
+++ b/src/main/java/kestreldeal/net/Notices.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -57,6 +58,11 @@
         }
     }
 
+    /** The platform is at another address from now on. */
+    void moved(InetSocketAddress to) {
+        agent.moved(to);
+    }
+
     /** Notices that are not heard yet. */
     int owed() {
         return owed.size();
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import kestreldeal.BadInput;
 import kestreldeal.Relay;
+import sun.misc.Signal;
 
 /**
  * One real sender: the event loop, the clock, and the names that the module knows by numbers. The loop's
@@ -50,6 +51,7 @@
     private final Relay relay;
     private Journal journal;
     private Endpoints endpoints;
+    private Discovery discovery;
     private Notices notices;
     private Intake intake;
     private boolean turnOpen;
@@ -73,6 +75,8 @@
         try {
             Sender sender = new Sender(Config.read(env), TAKING_MS, CLOSING_MS);
             sender.start();
+            // The JVM's own answer to SIGHUP is to end.
+            Signal.handle(new Signal("HUP"), hangUp -> sender.reconfigure(env));
             Runtime.getRuntime().addShutdownHook(new Thread(sender::drain, "drain"));
             sender.stopped.await();
             return 0;
@@ -101,10 +105,25 @@
                 new Ends());
         notices = new Notices(loop, new Agent(loop, config.discovery()), this::heard);
         intake = new Intake(loop, sockets / 2, new Clients());
-        new Discovery(loop, new Agent(loop, config.discovery()), this::listed).start(config.known());
+        discovery = new Discovery(loop, new Agent(loop, config.discovery()), this::listed);
+        discovery.start(config.known());
         return null;
     }
 
+    /** The configuration was replaced: of what may change, discovery's address is taken over. */
+    void reconfigure(Map<String, String> env) {
+        try {
+            InetSocketAddress to = Config.discovery(env);
+            Log.line("discovery is at " + Endpoints.hostPort(to) + " now");
+            loop.execute(() -> {
+                discovery.moved(to);
+                notices.moved(to);
+            });
+        } catch (BadInput | IOException e) {
+            Log.line("the new configuration can't be read, the old one stands: " + e.getMessage());
+        }
+    }
+
     /**
      * What an earlier life held goes back to the module, with what it did; notices owed go out again. Not
      * before a list is known: without one the module could only give all of it up.
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -582,6 +582,36 @@
         assertFalse(second.isAlive());
     }
 
+    @Test
+    void theProcessOutlivesAHangUpAndUsesTheNewDiscoveryAddress() throws Exception {
+        config();
+        Process process = process();
+        Stub.await("discovery is asked", () -> !agent.requests.isEmpty());
+        reportStatus = 500;
+        script(Stub.status(500, ""));
+        handIn("one", "once");
+        Stub.await("a notice is tried", () -> agent.requests.stream().anyMatch(r -> r.line().startsWith("POST")));
+        try (Stub old = agent) {
+            agent = new Stub(this::agent);
+            Path file = folder.resolve("config.json");
+            Files.writeString(file, "{ no configuration");
+            hangUp(process);
+            config();
+            reportStatus = 204;
+            hangUp(process);
+            awaitNotice("dead");
+            Stub.await("the list is asked for whole, then watched", () -> agent.requests.stream()
+                    .anyMatch(r -> r.line().contains("after=")));
+            assertTrue(agent.requests.stream().anyMatch(r -> r.line().equals("GET /v1/servers HTTP/1.1")));
+        }
+        assertTrue(process.isAlive());
+        process.destroyForcibly().waitFor();
+    }
+
+    private static void hangUp(Process process) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
     private Process process() throws Exception {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
                 "-cp", System.getProperty("java.class.path"), "kestreldeal.Main", "serve");
