Ask the module again before a call goes out over a connection that took time to come up

A told wait stops every send to that destination, and a drain every new one, but calls whose connection was still coming up went out whatever had been told meanwhile. mayStart asks the module at the moment of the first byte; what may not go ends as not sent, and the connection is kept.

Ruled out: rounding of the wait (breaks were 0.2 to 1.5 s early), a wait bound to the wrong endpoint (routes apart are told so by the list's kind).

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -248,6 +248,14 @@
         }
     }
 
+    @Override
+    public boolean mayStart(double now, long message, int attempt) {
+        tick(now);
+        Delivery d = deliveries.get(message);
+        return d != null && !d.ended && d.attempts.get(attempt).target
+                .filter(t -> t.serving && t.limit.waitUntil <= clock).isPresent();
+    }
+
     /** Until now the attempt could still run, so its key had to wait. */
     @Override
     public void callClosed(double now, long message) {
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -53,6 +53,12 @@
      */
     void attemptEnded(double now, AttemptEnd end);
 
+    /**
+     * Whether an attempt that has waited for its connection may go out now: a wait told since, or a drain, may
+     * stand against it. One that may not ends as not sent.
+     */
+    boolean mayStart(double now, long message, int attempt);
+
     /**
      * The call of an attempt that had ended while it was open is over now: nothing of it can still run there.
      */
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -48,6 +48,9 @@
     private static final int LONGEST_BODY = 64 * 1024;
 
     interface Ends {
+        /** Whether a call that waited for its connection may still go out. */
+        boolean mayStart(Call call);
+
         /**
          * Told of the end of each call. {@code gone}: the message is over, whatever else is true; {@code open}:
          * its exchange is still out for other calls.
@@ -296,7 +299,16 @@
             } else {
                 Connection fresh = f.channel().pipeline().get(Connection.class);
                 fresh.peer = peer;
-                write(fresh);
+                for (Call call : calls) {
+                    if (!ends.mayStart(call)) {
+                        call.leave(Outcome.NOT_SENT);
+                    }
+                }
+                if (nobodyWaits()) {
+                    fresh.rest();
+                } else {
+                    write(fresh);
+                }
             }
         }
 
@@ -456,16 +468,25 @@
                 exchange.whole(answer);
                 exchange = null;
                 answer.clear();
-                if (keep && idle < mostIdle && ctx.channel().isActive()) {
-                    idleSince = System.nanoTime();
-                    peer.idle.addLast(this);
-                    idle++;
+                if (keep) {
+                    rest();
                 } else {
                     ctx.close();
                 }
             }
         }
 
+        /** Is kept for the next exchange, if there is room. */
+        void rest() {
+            if (idle < mostIdle && channel.isActive()) {
+                idleSince = System.nanoTime();
+                peer.idle.addLast(this);
+                idle++;
+            } else {
+                channel.close();
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             if (peer != null && peer.idle.remove(this)) {
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -273,6 +273,11 @@
 
     /** The endpoints' side. */
     private final class Ends implements Endpoints.Ends {
+        @Override
+        public boolean mayStart(Endpoints.Call call) {
+            return relay.mayStart(openTurn(), call.held.number, call.attempt);
+        }
+
         @Override
         public void ended(Endpoints.Call call, Relay.Outcome outcome, boolean gone, double waitMs, boolean open) {
             calls.remove(new Out(call.held.number, call.attempt));
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -761,6 +761,23 @@
         assertEquals(List.of("refuse 1"), b.answers);
     }
 
+    @Test
+    void anAttemptThatStillWaitsForItsConnectionHeedsAWaitToldMeanwhile() {
+        Bench b = new Bench().list(1, 10).entry(20, 2, 0, 0, true);
+        b.take(1, SAFE, 1);
+        b.take(2, SAFE, 1);
+        b.take(3, SAFE, 2);
+        assertEquals(3, b.sends.size());
+        assertTrue(b.relay.mayStart(b.now, 2, 0));
+        b.end(1, 0, Outcome.FULL, 700);
+        assertFalse(b.relay.mayStart(b.now, 2, 0));
+        assertTrue(b.relay.mayStart(b.now, 3, 0));
+        b.until(750);
+        assertTrue(b.relay.mayStart(b.now, 2, 0));
+        b.entry(20, 2, 0, 0, false);
+        assertFalse(b.relay.mayStart(b.now, 3, 0), "it drains");
+    }
+
     @Test
     void aKeyInOrderWaitsUntilTheAnswerOfTheOneBeforeIsHeard() {
         Bench b = new Bench().list(1, 10);
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -1,6 +1,7 @@
 package kestreldeal.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -14,7 +15,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import kestreldeal.Relay.Outcome;
@@ -35,6 +38,7 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final BlockingQueue<End> ends = new LinkedBlockingQueue<>();
+    private final Set<String> barred = ConcurrentHashMap.newKeySet();
     private final BlockingQueue<String> closed = new LinkedBlockingQueue<>();
     private Endpoints endpoints;
     private Stub stub;
@@ -44,6 +48,11 @@
         stub = new Stub(Stub.status(200, ""));
         endpoints = new Endpoints(loop, 1000, 15_000, 4,
                 new Endpoints.Ends() {
+                    @Override
+                    public boolean mayStart(Endpoints.Call call) {
+                        return !barred.contains(call.held.id);
+                    }
+
                     @Override
                     public void ended(Endpoints.Call call, Outcome outcome, boolean gone, double waitMs,
                             boolean open) {
@@ -240,6 +249,29 @@
         assertEquals("id-0", closed.poll(30, TimeUnit.SECONDS));
     }
 
+    @Test
+    void whatMayNotGoAnyMoreWhenItsConnectionIsUpIsNotSent() throws Exception {
+        barred.add("id-1");
+        End sent = new End(Outcome.DELIVERED, false, 0);
+        stub.script(answer("", "id-0 accepted\r\nid-2 accepted\r\n"));
+        startTogether(3);
+        assertEquals(new End(Outcome.NOT_SENT, false, 0), end());
+        assertEquals(List.of(sent, sent), List.of(end(), end()));
+        assertFalse(stub.requests.get(0).body().contains("id-1"));
+    }
+
+    @Test
+    void aConnectionThatComesUpForNothingIsKept() throws Exception {
+        barred.add("id-1");
+        start(new byte[1], LONG_MS);
+        assertEquals(new End(Outcome.NOT_SENT, false, 0), end());
+        awaitKept();
+        barred.clear();
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+        assertEquals(1, stub.requests.size());
+        assertEquals(0, stub.requests.get(0).connection());
+    }
+
     @Test
     void theLastToLeaveAnExchangeClosesIt() throws Exception {
         stub.script(Stub.silent());
