Take a backlog after a restart for an outage only if most of it was refused or repeated

One message late or refused among three made every endpoint of its destination count as down, then cold for 11 s.

Ruled out: CPU (0.5 only at the start of a life) and slots (free all the while).

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -107,7 +107,7 @@
     private static final double DEMAND_SHARE = 0.7;
     private static final double CARRIED_LEAST_MS = 2000;
 
-    /** So many messages of an earlier life for one destination count as a backlog. */
+    /** So many messages of an earlier life with trouble at one destination may mean an outage. */
     private static final int LEAST_BACKLOG = 3;
 
     // Connections.
@@ -663,18 +663,21 @@
         /** Of use within {@link #dispatch} only: something may go there yet, in this turn. */
         boolean open;
         int backlog;
-        boolean troubled;
+        int troubled;
 
         /**
-         * A backlog from an earlier life that had trouble here: attempts that were refused or repeated, or
-         * messages late with none. Guards against a restart in an outage, which would send it all at once to
-         * what may just be coming back cold; so trials come first. A few messages can't push it over.
+         * A backlog from an earlier life that had trouble here: most messages with attempts had them refused
+         * or repeated. Guards against a restart in an outage, which would send it all at once to what may
+         * just be coming back cold; so trials come first. A few messages can't push it over. One refusal is
+         * no outage, and what is late without an attempt may be so because this sender was ending, or gone.
          */
         void resumed(Delivery d) {
+            if (d.attempts.isEmpty()) {
+                return;
+            }
             backlog++;
-            troubled |= d.attempts.isEmpty() ? clock > d.aimAt
-                    : d.attempts.size() > 1 || d.attempts.stream().noneMatch(a -> a.mayHaveRun);
-            if (troubled && backlog >= LEAST_BACKLOG) {
+            troubled += d.attempts.size() > 1 || d.attempts.stream().noneMatch(a -> a.mayHaveRun) ? 1 : 0;
+            if (troubled >= LEAST_BACKLOG && 2 * troubled > backlog) {
                 targets.forEach(target -> target.down("had trouble before the restart"));
             }
         }
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -704,6 +704,18 @@
         b.allAnswered();
     }
 
+    @Test
+    void oneRefusalAndMessagesThatTheRestartMadeLateAreNoOutage() {
+        Bench b = new Bench(40).list(1, 10);
+        b.now = 20_000;
+        b.resumeInTurn(1, SAFE, 1, 9000, List.of(earlier(1000, false)));
+        for (int id = 2; id <= 8; id++) {
+            b.resumeInTurn(id, SAFE, 1, 9000, id % 2 == 0 ? List.of() : List.of(earlier(1000, true)));
+        }
+        b.relay.endTurn(b.now);
+        assertEquals(8, b.sends.size());
+    }
+
     @Test
     void callsThatWereOutAtTheRestartAreNoBacklogInTrouble() {
         Bench b = new Bench().list(1, 10);
