Warm no endpoint up that was down for one failed connect alone

One failed connect makes an endpoint count as down, so trials come; but its first delivery then began a ramp of 11 s, as after an outage, though the trial had shown that there was none. If the first trial delivers, it is up again; any further failure before it, or any other symptom, ramps as before.

Ruled out: idle connections dropped unseen (170 of 382 resets were on new connections).

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -825,6 +825,8 @@
         double warmSince;
         double downAt;
         boolean silentOnly;
+        /** It is down for one failed connect alone. */
+        boolean connectOnly;
         double nextAt = Double.NEGATIVE_INFINITY;
         double usedAt = Double.NEGATIVE_INFINITY;
         int out;
@@ -916,7 +918,11 @@
             switch (end.outcome()) {
                 case DELIVERED -> good(call, end);
                 case FULL -> full(call, end.waitMs());
-                case UNREACHABLE -> bad(UNREACHABLE_WEIGHT, "refuses connections");
+                case UNREACHABLE -> {
+                    boolean wasDown = state == State.DOWN;
+                    bad(UNREACHABLE_WEIGHT, "refuses connections");
+                    connectOnly = !wasDown && fruitless == 1;
+                }
                 case ERROR -> bad(BAD_WEIGHT, "loses calls");
                 default -> {
                     connections.lost(call);
@@ -931,6 +937,7 @@
         private void good(Call call, AttemptEnd end) {
             connections.held(call);
             bad *= GOOD_FACTOR;
+            boolean once = connectOnly && fruitless == 1;
             silentCalls = 0;
             fruitless = 0;
             lastGood = clock;
@@ -940,6 +947,9 @@
                 carried.count();
             } else if (state == State.DOWN && silentOnly && call.sentAt < downAt) {
                 up("was slow, not silent");
+            } else if (state == State.DOWN && once) {
+                // In an outage the trial would have failed too: the network's failure, or a full table's.
+                up("failed one connect only");
             } else if (state == State.DOWN) {
                 state = State.WARMING;
                 warmSince = clock;
@@ -989,6 +999,7 @@
 
         private void down(String symptom) {
             silentOnly = false;
+            connectOnly = false;
             if (state != State.DOWN) {
                 state = State.DOWN;
                 downAt = clock;
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -371,6 +371,16 @@
         assertTrue(last >= 50, "sends in the last ten seconds: " + last);
     }
 
+    @Test
+    void oneFailedConnectIsNoOutageToWarmUpFrom() {
+        Bench b = new Bench(100).list(1, 10);
+        b.onSend = s -> b.endLater(s, b.sends.size() == 50 ? Outcome.UNREACHABLE : Outcome.DELIVERED, 20);
+        b.takeEvery(100, SAFE, 1, 11_000);
+        double failedAt = b.sends.get(49).at();
+        long soon = b.sends.stream().filter(s -> s.at() > failedAt && s.at() < failedAt + 4000).count();
+        assertTrue(soon >= 35, "sent in the 4 s after: " + soon);
+    }
+
     /**
      * Found on menu-delivery rough-2: beside a healthy route, one that had been down was never tried again.
      */
