Let the floor of a pace give way to refusals in a row, and count calls

Refused calls use such a limit up, so the floors together kept it full. Where a call takes 20 messages, the floor of a fifth of the messages was 1.6 calls a second for each sender and route: 22 from the fleet, at a limit near ten.

At fault: Limit.floor. The floors now fall by each refusal in a row after the second, and the share of the messages is counted in the calls that they need, by batch and routes.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -74,10 +74,12 @@
     private static final double PACE_PAUSE_MS = 500;
     private static final double PACE_PAUSE_GROWTH = 3;
     private static final int PACE_PAUSES = 4;
-    /** Slowest pace, as a share of the messages that this sender takes for the destination. */
+    /** Slowest pace, as a share of the calls that this sender's messages need there. */
     private static final double PACE_LEAST_SHARE = 0.2;
     /** The same as a share of the even part of a listed rate, which may be half too high. */
     private static final double LISTED_SHARE = 0.5;
+    /** Both give way to more refusals in a row: all floors may keep full what refused calls use up. */
+    private static final int FLOOR_REFUSALS = 2;
     /** Idle for so long, a destination loses pace and counts (the design's figure). */
     private static final double IDLE_MS = 60_000;
 
@@ -848,6 +850,7 @@
         final Deque<Double> lastSecond = new ArrayDeque<>();
         final Destination destination;
         int pressed;
+        int inRow;
         double listedRate;
         double rate = Double.POSITIVE_INFINITY;
         double nextAt = Double.NEGATIVE_INFINITY;
@@ -906,6 +909,7 @@
                     : Math.min(rate, PACE_OVER_SENT * sends.perMs());
             rate = Math.max(floor(), edge * PACE_CUT);
             pressed = Math.min(pressed + 1, PACE_PAUSES);
+            inRow++;
             cutAt = clock;
             nextAt = clock + 1 / rate;
             if (nextAt > waitUntil) {
@@ -915,14 +919,22 @@
 
         void delivered() {
             pressed = Math.max(pressed - 1, 0);
+            inRow = 0;
             boolean quick = rate < PACE_NEAR * edge || clock > cutAt + PACE_MEMORY_MS;
             rate = Math.max(floor(), rate * (1 + (quick ? PACE_GROWTH : PACE_PROBE)));
         }
 
         private double floor() {
-            double own = Math.max(PACE_LEAST_SHARE * destination.demand.perMs(),
+            double own = Math.max(PACE_LEAST_SHARE * destination.demand.perMs() / messagesACall(),
                     LISTED_SHARE * listedRate / settings.senders());
-            return Math.max(1 / (PACE_PAUSE_MS * Math.pow(PACE_PAUSE_GROWTH, pressed)), own);
+            return Math.max(1 / (PACE_PAUSE_MS * Math.pow(PACE_PAUSE_GROWTH, pressed)),
+                    own / Math.pow(PACE_PAUSE_GROWTH, Math.max(0, inRow - FLOOR_REFUSALS)));
+        }
+
+        /** Messages of the destination for each call that may be needed here: its routes share them. */
+        private double messagesACall() {
+            Target first = destination.targets.get(0);
+            return first.limit == destination.shared ? first.batch : first.batch * destination.targets.size();
         }
     }
 
--- /dev/null
+++ b/src/test/java/kestreldeal/FleetTest.java
@@ -0,0 +1,100 @@
+package kestreldeal;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import kestreldeal.Relay.Outcome;
+import org.junit.jupiter.api.Test;
+
+/** Many senders that share nothing but a destination: what counts is their sum. */
+class FleetTest {
+    private static final int SENDERS = 14;
+    private static final double TICK = 5;
+
+    private final List<Bench> fleet = new ArrayList<>();
+    private double now;
+
+    private void senders(double listedRate, int kind, long... endpoints) {
+        for (int i = 0; i < SENDERS; i++) {
+            Bench b = new Bench(100, SENDERS, 100 + i);
+            b.listedRate = listedRate;
+            for (long endpoint : endpoints) {
+                b.entry(endpoint, 1, kind, 0, true);
+            }
+            fleet.add(b);
+        }
+    }
+
+    private void answers(BiConsumer<Bench, Bench.Sent> answer) {
+        fleet.forEach(b -> b.onSend = s -> answer.accept(b, s));
+    }
+
+    /** All senders go on side by side; each takes a message so often, not all at the same moment. */
+    private void until(double end, double gap) {
+        while (now < end) {
+            for (int i = 0; i < SENDERS; i++) {
+                Bench b = fleet.get(i);
+                b.until(now + TICK);
+                double shifted = now + gap * i / SENDERS;
+                if (Math.floor((shifted + TICK) / gap) > Math.floor(shifted / gap)) {
+                    b.take((long) (shifted / gap), 0, 1);
+                }
+            }
+            now += TICK;
+        }
+    }
+
+    private long delivered() {
+        return fleet.stream().mapToLong(Bench::delivered).sum();
+    }
+
+    /** So many calls a second, which refused ones use up too; room is kept for half a second. */
+    private final class UsedUpByRefusals {
+        private final double perMs;
+        private double room;
+        private double at;
+
+        UsedUpByRefusals(double perSecond) {
+            this.perMs = perSecond / 1000;
+        }
+
+        void call(Bench b, Bench.Sent s) {
+            room = Math.min(500 * perMs, room + (now - at) * perMs) - 1;
+            at = now;
+            boolean taken = room >= 0;
+            room = Math.max(room, -1000 * perMs);
+            b.endLater(s, taken ? Outcome.DELIVERED : Outcome.FULL, 50);
+        }
+    }
+
+    /** Seen on zone+vast: a route refused every call for 15 s, as the floors of all senders kept it full. */
+    @Test
+    void theSendersTogetherLetALimitBreatheThatRefusedCallsUseUp() {
+        senders(0, 0, 10);
+        UsedUpByRefusals limit = new UsedUpByRefusals(4);
+        answers(limit::call);
+        until(20_000, 1000);
+        long before = delivered();
+        until(50_000, 1000);
+        long taken = delivered() - before;
+        assertTrue(taken >= 0.4 * 4 * 30, "delivered in 30 s at four a second: " + taken);
+    }
+
+    /** Seen on zone+vast: where a call takes several messages, the floor was a call for each fifth of them. */
+    @Test
+    void theFloorCountsTheCallsThatTheMessagesNeed() {
+        senders(0, 1, 10);
+        answers((b, s) -> b.endLater(s, calls(b) % 4 == 0 ? Outcome.DELIVERED : Outcome.FULL, 20));
+        until(10_000, 100);
+        long before = fleet.stream().mapToLong(FleetTest::calls).sum();
+        until(20_000, 100);
+        double perSecond = (fleet.stream().mapToLong(FleetTest::calls).sum() - before) / 10.0;
+        assertTrue(perSecond <= 14, "calls a second, of which most are refused: " + perSecond);
+    }
+
+    private static long calls(Bench b) {
+        return b.sends.stream().map(Bench.Sent::at).distinct().count();
+    }
+}
