Begin a pace at the sender's even part of a listed rate, with little burst

Each sender began unbounded and with two calls at once, which from fourteen is more than a limit holds.

At fault: Limit.sent, which knew no rate before the first refusal, and let two calls go after each idle while.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -74,6 +74,8 @@
     private static final double PACE_PAUSE_MS = 500;
     private static final double PACE_PAUSE_GROWTH = 3;
     private static final int PACE_PAUSES = 4;
+    /** A pace may be ahead of itself by so long: for all senders together, so long at the limit. */
+    private static final double PACE_BURST_MS = 250;
     /** Slowest pace, as a share of the calls that this sender's messages need there. */
     private static final double PACE_LEAST_SHARE = 0.2;
     /** The same as a share of the even part of a listed rate, which may be half too high. */
@@ -881,14 +883,16 @@
         }
 
         void sent() {
-            if (!lastSecond.isEmpty() && lastSecond.peekLast() < clock - IDLE_MS) {
-                rate = Double.POSITIVE_INFINITY;
+            if (edge == 0 || !lastSecond.isEmpty() && lastSecond.peekLast() < clock - IDLE_MS) {
+                // Many senders may begin at one moment: where a rate is listed, each with its even part.
+                rate = listedRate == 0 ? Double.POSITIVE_INFINITY : listedRate / settings.senders();
+                edge = rate;
             }
             sends.count();
             lastSecond.add(clock);
             trim(lastSecond, 1000);
             if (rate < Double.POSITIVE_INFINITY) {
-                nextAt = Math.max(nextAt + 1 / rate, clock);
+                nextAt = Math.max(nextAt, clock - PACE_BURST_MS) + 1 / rate;
             }
         }
 
@@ -1030,7 +1034,6 @@
                 fruitless = 0;
                 silentCalls = 0;
                 state = State.DOWN;
-                nextAt = clock;
             }
         }
 
--- a/src/test/java/kestreldeal/FleetTest.java
+++ b/src/test/java/kestreldeal/FleetTest.java
@@ -82,6 +82,19 @@
         assertTrue(taken >= 0.4 * 4 * 30, "delivered in 30 s at four a second: " + taken);
     }
 
+    /** Seen on herd+vast: after a mass restart each sender began unbounded, with all that had waited for it. */
+    @Test
+    void theSendersTogetherBeginNearTheListedRate() {
+        senders(20, 0, 10);
+        UsedUpByRefusals limit = new UsedUpByRefusals(20);
+        answers(limit::call);
+        fleet.forEach(b -> b.takeTogether(10, 0, 1));
+        until(5000, 60_000);
+        long sent = fleet.stream().mapToLong(b -> b.sends.size()).sum();
+        assertTrue(sent <= 20 * 5 * 1.5, "sent in the first 5 s at twenty a second: " + sent);
+        assertTrue(delivered() >= 20 * 5 * 0.4, "delivered of them: " + delivered());
+    }
+
     /** Seen on zone+vast: where a call takes several messages, the floor was a call for each fifth of them. */
     @Test
     void theFloorCountsTheCallsThatTheMessagesNeed() {
