Hold a pace's floor to the even part of a listed rate, not two calls a second

The pace is back at r2.00 after each delivery: 60 senders at two a second are 120.

At fault: Limit.floor, whose PACE_PAUSE_MS floor stands beside the even part of the listed rate and is 16 times as much here. Where a rate is listed the even part alone counts now. Ruled out: slots (mostly 0 of 5 in use when a message was given up), order (25 of 646), told waits (the gate was a pace or a state, hardly ever a wait), and copies (1.01 attempts a message).

Test: FleetTest.theSendersTogetherKeepToAListedRateThatRefusedCallsUseUp, which delivers 53 of 160 without the change and 84 with it.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -68,8 +68,8 @@
     private static final double PACE_NEAR = 0.9;
     private static final double PACE_MEMORY_MS = 4000;
     /**
-     * Longest interval of a pace after one refusal, lest a sender with little traffic keep its message for
-     * long. It grows so many times with each further refusal, up to so often, and falls with each delivery.
+     * Longest interval of a pace after one refusal where no rate is listed: two calls a second from each of
+     * many senders are too many. It grows so with each further refusal, up to so often, and falls again.
      */
     private static final double PACE_PAUSE_MS = 500;
     private static final double PACE_PAUSE_GROWTH = 3;
@@ -931,8 +931,8 @@
         private double floor() {
             double own = Math.max(PACE_LEAST_SHARE * destination.demand.perMs() / messagesACall(),
                     LISTED_SHARE * listedRate / settings.senders());
-            return Math.max(1 / (PACE_PAUSE_MS * Math.pow(PACE_PAUSE_GROWTH, pressed)),
-                    own / Math.pow(PACE_PAUSE_GROWTH, Math.max(0, inRow - FLOOR_REFUSALS)));
+            double least = listedRate > 0 ? 0 : 1 / (PACE_PAUSE_MS * Math.pow(PACE_PAUSE_GROWTH, pressed));
+            return Math.max(least, own / Math.pow(PACE_PAUSE_GROWTH, Math.max(0, inRow - FLOOR_REFUSALS)));
         }
 
         /** Messages of the destination for each call that may be needed here: its routes share them. */
--- a/src/test/java/kestreldeal/FleetTest.java
+++ b/src/test/java/kestreldeal/FleetTest.java
@@ -90,11 +90,30 @@
         answers(limit::call);
         fleet.forEach(b -> b.takeTogether(10, 0, 1));
         until(5000, 60_000);
-        long sent = fleet.stream().mapToLong(b -> b.sends.size()).sum();
+        long sent = sent();
         assertTrue(sent <= 20 * 5 * 1.5, "sent in the first 5 s at twenty a second: " + sent);
         assertTrue(delivered() >= 20 * 5 * 0.4, "delivered of them: " + delivered());
     }
 
+    /** Seen on calm+mass: each sender had at least two calls a second, so all together kept a listed limit full. */
+    @Test
+    void theSendersTogetherKeepToAListedRateThatRefusedCallsUseUp() {
+        senders(4, 0, 10);
+        UsedUpByRefusals limit = new UsedUpByRefusals(4);
+        answers(limit::call);
+        until(10_000, 2000);
+        long before = delivered();
+        long sent = sent();
+        until(50_000, 2000);
+        long taken = delivered() - before;
+        assertTrue(taken >= 0.45 * 4 * 40, "delivered in 40 s at four a second: " + taken);
+        assertTrue(sent() - sent <= 1.2 * 4 * 40, "calls in 40 s at four a second: " + (sent() - sent));
+    }
+
+    private long sent() {
+        return fleet.stream().mapToLong(b -> b.sends.size()).sum();
+    }
+
     /** Seen on zone+vast: where a call takes several messages, the floor was a call for each fifth of them. */
     @Test
     void theFloorCountsTheCallsThatTheMessagesNeed() {
