Close idle connections early at kinds of endpoint that turned a new one away as full

At fault: Endpoints.idleNanos, 8 s for each of 60 senders. A kind that was seen to turn a new connection away in this way now keeps one only for that time over the fleet's size, so that all senders together idle no longer than one alone.

Tests: two in EndpointsTest, the first fails without.

--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -30,8 +30,10 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import kestreldeal.Relay.Outcome;
 
@@ -71,16 +73,21 @@
     private final Ends ends;
     private final Bootstrap bootstrap;
     private final long idleNanos;
+    /** The same at kinds with small connection tables: all senders together may idle as long as one elsewhere. */
+    private final long crowdedNanos;
+    /** Kinds of endpoint that were seen to turn a new connection away, as their table was full. */
+    private final Set<Integer> crowded = new HashSet<>();
     private int mostIdle;
     private final Map<Long, Peer> peers = new HashMap<>();
     /** What this turn has asked for so far. */
     private final List<Exchange> gathered = new ArrayList<>();
     private int idle;
 
-    Endpoints(EventLoop loop, double dialMs, double keepAliveMs, int mostIdle, Ends ends) {
+    Endpoints(EventLoop loop, double dialMs, double keepAliveMs, int senders, int mostIdle, Ends ends) {
         this.loop = loop;
         this.ends = ends;
         this.idleNanos = (long) (keepAliveMs * IDLE_SHARE * 1e6);
+        this.crowdedNanos = idleNanos / Math.max(1, senders);
         this.mostIdle = mostIdle;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -95,15 +102,16 @@
     }
 
     /**
-     * An endpoint is at this address from now on, and takes so many messages in one exchange; connections to
-     * another address are of no more use.
+     * An endpoint of this kind is at this address from now on, and takes so many messages in one exchange;
+     * connections to another address are of no more use.
      */
-    void at(long endpoint, InetSocketAddress address, boolean serving, int batch) {
+    void at(long endpoint, InetSocketAddress address, boolean serving, int kind, int batch) {
         Peer peer = peers.computeIfAbsent(endpoint, Peer::new);
         if (!serving || !address.equals(peer.address)) {
             closeIdle(endpoint);
         }
         peer.address = address;
+        peer.kind = kind;
         peer.batch = batch;
     }
 
@@ -162,7 +170,7 @@
     private void sweep() {
         long now = System.nanoTime();
         for (Peer peer : peers.values()) {
-            List<Connection> old = peer.idle.stream().filter(c -> now - c.idleSince > idleNanos).toList();
+            List<Connection> old = peer.idle.stream().filter(c -> now - c.idleSince > peer.idleNanos()).toList();
             old.forEach(Connection::close);
         }
     }
@@ -170,6 +178,7 @@
     private final class Peer {
         final long endpoint;
         InetSocketAddress address;
+        int kind;
         int batch;
         /** What this turn sends here, as long as it has room. */
         Exchange gathering;
@@ -179,11 +188,16 @@
             this.endpoint = endpoint;
         }
 
+        /** How long a connection may idle here. */
+        long idleNanos() {
+            return crowded.contains(kind) ? crowdedNanos : idleNanos;
+        }
+
         Connection newestIdle() {
             while (!idle.isEmpty()) {
                 Connection newest = idle.removeLast();
                 Endpoints.this.idle--;
-                if (newest.isOpen() && System.nanoTime() - newest.idleSince <= idleNanos) {
+                if (newest.isOpen() && System.nanoTime() - newest.idleSince <= idleNanos()) {
                     return newest;
                 }
                 newest.close();
@@ -411,6 +425,11 @@
             int code = response.status().code();
             boolean one = calls.size() == 1;
             waitMs = waitMs(response);
+            if (code == 503 && !connection.used && !HttpUtil.isKeepAlive(response)) {
+                // Its table is full: what idles there keeps the other senders out, and they can't tell this one.
+                crowded.add(peer.kind);
+            }
+            connection.used = true;
             if (code == 200 && !one) {
                 return;
             }
@@ -472,6 +491,8 @@
         private Exchange exchange;
         private long idleSince;
         private boolean keep;
+        /** It has brought an answer. */
+        private boolean used;
         private boolean interim;
 
         @Override
@@ -519,11 +540,20 @@
                 idleSince = System.nanoTime();
                 peer.idle.addLast(this);
                 idle++;
+                if (crowded.contains(peer.kind)) {
+                    loop.schedule(this::closeUnused, crowdedNanos, TimeUnit.NANOSECONDS);
+                }
             } else {
                 channel.close();
             }
         }
 
+        private void closeUnused() {
+            if (exchange == null && System.nanoTime() - idleSince >= crowdedNanos) {
+                close();
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             if (peer != null && peer.idle.remove(this)) {
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -151,8 +151,8 @@
         int sockets = Math.max(config.sockets() - OTHER_SOCKETS, 64);
         int slots = config.settings().slots();
         int mostIdle = Math.max(1, sockets / 2 - slots);
-        endpoints = new Endpoints(loop, config.dialMs(), config.settings().keepAliveMs(), mostIdle,
-                new Ends());
+        endpoints = new Endpoints(loop, config.dialMs(), config.settings().keepAliveMs(),
+                config.settings().senders(), mostIdle, new Ends());
         notices = new Notices(loop, new Agent(loop, config.discovery()), this::heard);
         intake = new Intake(loop, sockets / 2, new Clients());
         ops = new Ops(loop, new Orders());
@@ -513,7 +513,8 @@
             }
             int kind = Math.max(0, config.kinds().indexOf(e.kind()));
             List<Relay.Kind> kinds = config.settings().kinds();
-            endpoints.at(number, e.address(), e.serving(), kinds.get(Math.min(kind, kinds.size() - 1)).batch());
+            endpoints.at(number, e.address(), e.serving(), kind,
+                    kinds.get(Math.min(kind, kinds.size() - 1)).batch());
             list.add(new Relay.Endpoint(number, e.destination(), kind,
                     Math.max(0, config.zones().indexOf(e.zone())), e.serving(), e.weight()));
         }
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -29,6 +29,8 @@
 /** Each row of the protocol's table of outcomes, and the connections that calls go over. */
 class EndpointsTest {
     private static final double LONG_MS = 20_000;
+    /** So many that where tables are full no connection may idle at all. */
+    private static final int SENDERS = Integer.MAX_VALUE;
 
     private record End(Outcome outcome, boolean gone, double waitMs, boolean open) {
         End(Outcome outcome, boolean gone, double waitMs) {
@@ -49,7 +51,7 @@
     @BeforeEach
     void open() throws Exception {
         stub = new Stub(Stub.status(200, ""));
-        endpoints = new Endpoints(loop, 1000, 15_000, 4,
+        endpoints = new Endpoints(loop, 1000, 15_000, SENDERS, 4,
                 new Endpoints.Ends() {
                     @Override
                     public void waitTold(long endpoint, double waitMs) {
@@ -87,7 +89,7 @@
     }
 
     private void at(InetSocketAddress address) {
-        loop.submit(() -> endpoints.at(1, address, true, 3)).syncUninterruptibly();
+        loop.submit(() -> endpoints.at(1, address, true, 2, 3)).syncUninterruptibly();
     }
 
     private Endpoints.Call start(byte[] body, double timeoutMs) throws Exception {
@@ -357,10 +359,32 @@
     void aDrainingOrMovedEndpointsIdleConnectionsAreClosed() throws Exception {
         expect(Outcome.DELIVERED, Stub.status(200, ""));
         awaitKept();
-        loop.submit(() -> endpoints.at(1, stub.address(), false, 3)).syncUninterruptibly();
+        loop.submit(() -> endpoints.at(1, stub.address(), false, 2, 3)).syncUninterruptibly();
         assertEquals(0, kept());
     }
 
+    /** Seen on calm+mass: idle connections of a few of 60 senders kept all others out for the whole day. */
+    @Test
+    void whereTablesAreFullIdleConnectionsAreSoonClosed() throws Exception {
+        expect(Outcome.FULL, Stub.status(503, "Connection: close\r\n"));
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+        assertEquals(List.of(0, 1, 2), stub.requests.stream().map(Stub.Message::connection).toList());
+        Stub.await("the idle connection is closed", () -> kept() == 0);
+    }
+
+    /** A refusal on a kept connection, or one that leaves a new one open, tells nothing of the table. */
+    @Test
+    void aRefusedCallAloneMakesNoTableFull() throws Exception {
+        expect(Outcome.FULL, Stub.status(503, ""));
+        awaitKept();
+        expect(Outcome.FULL, Stub.status(503, "Connection: close\r\n"));
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+        awaitKept();
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+        assertEquals(List.of(0, 0, 1, 1), stub.requests.stream().map(Stub.Message::connection).toList());
+    }
+
     private void awaitKept() throws Exception {
         Stub.await("the connection is kept", () -> kept() == 1);
     }
