Refuse on arrival what a sender's queue and pace have no time for

Traffic is uneven: a sender with 20 to 48 messages of a hot key has the same pace as those that ask nothing there, and a client that hears of it at the deadline can't try another one.

Now a message is refused when it comes if what waits and is worth as much, and the first opening, outlast it, though each delivery lets the pace grow by the small step. Not where an endpoint is down or warming or none takes calls: there the pace says nothing of what comes.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -260,6 +260,10 @@
         tick(now);
         Delivery d = take(message);
         d.destination.demand.count();
+        if (d.destination.hasNoTimeFor(d)) {
+            // While there is time, its client may find room at another sender.
+            finish(d);
+        }
     }
 
     /** Demand is not counted: what comes back at once was asked for over a time that nobody knows. */
@@ -815,6 +819,15 @@
                     .mapToDouble(t -> t.limit.rate * t.limit.messagesACall()).sum() / targets.size();
         }
 
+        /** Whether what waits already and is worth as much outlasts a message, though the paces may grow. */
+        boolean hasNoTimeFor(Delivery d) {
+            long ahead = queue.stream().filter(o -> o.destination == this && o.type.worth() >= d.type.worth())
+                    .count() - 1;
+            double through = (1 - Math.pow(1 + PACE_PROBE, -ahead)) / PACE_PROBE / pace();
+            return pace() > 0 && targets.stream().allMatch(t -> t.state == State.UP)
+                    && opensAt() + through > d.deadline;
+        }
+
         /** When the gates of its endpoints open, as far as time alone opens them. */
         DoubleStream openings() {
             return targets.stream().filter(Target::takes)
--- a/src/test/java/kestreldeal/FleetTest.java
+++ b/src/test/java/kestreldeal/FleetTest.java
@@ -141,6 +141,22 @@
         };
     }
 
+    /** Seen on herd+mass: what a sender with much traffic had no calls for waited there, and died, unsent. */
+    @Test
+    void aSenderSendsAwayAtOnceWhatItsPaceHasNoTimeFor() {
+        senders(7, 0, 10);
+        UsedUpByRefusals limit = new UsedUpByRefusals(7);
+        answers(limit::call);
+        Bench busy = fleet.get(0);
+        busy.take(1000, 0, 1);
+        busy.takeTogether(30, 0, 1);
+        int atOnce = busy.answers.size();
+        assertTrue(atOnce >= 12, "of 30 at a call in two seconds, within 16 s, sent away: " + atOnce);
+        until(17_000, Double.POSITIVE_INFINITY);
+        assertTrue(busy.delivered() >= 8, "delivered: " + busy.delivered());
+        assertTrue(busy.answers.size() - atOnce <= 30 - atOnce - 8, "given up late: " + busy.answers.size());
+    }
+
     private long served(int type) {
         return fleet.stream().mapToLong(b -> b.delivered(type)).sum();
     }
