Read odd settings and listed rates so that no class is left unserved

Limit.sent begins no lower than Limit.floor, which follows what is asked there. - A listed rate that is negative or no number made the pace NaN, which never opens (2 of 30 delivered): Relay.Endpoint takes it as none. - A class whose aim is its deadline got the rank NaN (0/0 in Delivery.worthAt) and went last always. - A fleet_size of 0 counts as 1, and settings without kinds have one kind.

Endpoint lists of 1,024 and a fleet_size of 1,024 are read, served, and restored after a kill (SenderTest): no bound was too small. The rank's horizon is worked out only for destinations where something may go.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -438,9 +438,9 @@
     private void dispatch() {
         // A gate that is shut now stays so for this turn: what waits behind one is not worth a look. With a
         // long queue and many events that look would cost more than all the rest.
-        for (Destination destination : destinations.values()) {
-            destination.open = destination.waiting > 0 && destination.isOpen();
-            destination.horizon = Math.max(RANK_HORIZON_MS, destination.waiting / destination.pace());
+        for (Destination at : destinations.values()) {
+            at.open = at.waiting > 0 && at.isOpen();
+            at.horizon = at.open ? Math.max(RANK_HORIZON_MS, at.waiting / at.pace()) : 0;
         }
         List<Delivery> ranked = new ArrayList<>();
         for (Delivery d : queue) {
@@ -667,7 +667,7 @@
             double late = Math.max(0, time - aimAt);
             double share = settings.decay() == Decay.HALVES
                     ? Math.max(type.lateWorth(), Math.pow(0.5, late / type.aimMs()))
-                    : 1 - (1 - type.lateWorth()) * late / (type.deadlineMs() - type.aimMs());
+                    : 1 - (1 - type.lateWorth()) * late / Math.max(1, type.deadlineMs() - type.aimMs());
             return type.worth() * share;
         }
 
@@ -884,7 +884,8 @@
         void sent() {
             if (edge == 0 || !lastSecond.isEmpty() && lastSecond.peekLast() < clock - IDLE_MS) {
                 // Many senders may begin at one moment: where a rate is listed, each with its even part.
-                rate = listedRate == 0 ? Double.POSITIVE_INFINITY : listedRate / settings.senders();
+                rate = listedRate == 0 ? Double.POSITIVE_INFINITY
+                        : Math.max(floor(), listedRate / settings.senders());
                 edge = rate;
             }
             sends.count();
--- a/src/main/java/kestreldeal/Params.java
+++ b/src/main/java/kestreldeal/Params.java
@@ -28,7 +28,7 @@
         List<Relay.Kind> kinds = new ArrayList<>();
         List<String> routes = list("family_info.separate_routes");
         List<String> batches = list("family_info.batch_by_kind");
-        for (int i = 0; i < Math.max(routes.size(), batches.size()); i++) {
+        for (int i = 0; i < Math.max(1, Math.max(routes.size(), batches.size())); i++) {
             kinds.add(new Relay.Kind(i < routes.size() && routes.get(i).equals("true"),
                     i < batches.size() ? (int) parse(batches.get(i)) : 1));
         }
@@ -42,7 +42,7 @@
                 number("rules.warm_after_ms"), number("rules.fall_multiple"), number("rules.fall_ms"));
         boolean ratesListed = !textOr("weight_kind", "none").equals("none");
         return new Relay.Settings(classes, kinds, ratesListed, decay, fees,
-                (int) number("fleet_size"), (int) number("family_info.workers"),
+                Math.max(1, (int) number("fleet_size")), (int) number("family_info.workers"),
                 (int) number("limits.most_tries"), flag("limits.second_copies"), flag("limits.cancel"),
                 numberOr("rules.order_pause_ms", 0), numberOr("limits.keepalive_ms", 0), cold);
     }
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -214,6 +214,10 @@
      * One entry of the list; the endpoints of a destination are the only ones that its messages may go to.
      */
     record Endpoint(long id, long destination, int kind, int zone, boolean serving, double listedRate) {
+        /** A rate that makes no sense counts as none listed. */
+        public Endpoint {
+            listedRate = listedRate > 0 ? listedRate : 0;
+        }
     }
 
     /**
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -24,6 +24,7 @@
     private static final int KEYED = 1;
     private static final int UNSAFE = 2;
     private static final int BY_ZONE = 3;
+    private static final int NEVER_LATE = 5;
 
     // ---- the cost of a turn ----
 
@@ -461,6 +462,42 @@
         assertTrue(late >= 22, "sent in ten seconds: " + late);
     }
 
+    /** A listed rate may be far off: what is delivered counts for more. */
+    @Test
+    void aListedRateThatIsFarTooSmallLeavesNoDestinationUnserved() {
+        Bench b = new Bench(100, 1024);
+        b.listedRate = 0.001;
+        b.list(1, 10);
+        b.onSend = s -> b.endLater(s, Outcome.DELIVERED, 20);
+        b.takeEvery(1000, SAFE, 1, 60_000);
+        b.until(76_000);
+        assertTrue(b.delivered() >= 8, "delivered of 60: " + b.delivered());
+    }
+
+    @Test
+    void aListedRateThatMakesNoSenseCountsAsNone() {
+        for (double rate : List.of(0.0, -3.0, Double.NaN, 1e300)) {
+            Bench b = new Bench(100, 8);
+            b.listedRate = rate;
+            b.list(1, 10);
+            b.onSend = s -> b.endLater(s, b.sends.size() % 3 == 0 ? Outcome.FULL : Outcome.DELIVERED, 20);
+            b.takeEvery(1000, SAFE, 1, 30_000);
+            b.until(46_000);
+            assertTrue(b.delivered() >= 20, "delivered of 30 at a listed rate of " + rate + ": " + b.delivered());
+        }
+    }
+
+    @Test
+    void aClassWhoseAimIsItsDeadlineGoesFirstBeforeItIsLost() {
+        Bench b = new Bench().list(1, 10);
+        b.take(1, SAFE, 1);
+        b.end(1, 0, Outcome.FULL, 4000);
+        b.take(2, SAFE, 1);
+        b.take(3, NEVER_LATE, 1);
+        b.until(4900);
+        assertEquals(3L, b.sent().get(1));
+    }
+
     /** Found in incident ie9f35c: each of eleven senders kept its own floor of pace at a shut destination. */
     @Test
     void theFloorOfThePaceFollowsTheSendersOwnPartOfTheLoad() {
@@ -979,5 +1016,6 @@
             new Relay.MessageClass(2000, 16_000, 1, 0.5, Effect.KEYED, false, 4000, false),
             new Relay.MessageClass(2000, 16_000, 4, 0.3, Effect.UNSAFE, false, 0, true),
             new Relay.MessageClass(2000, 16_000, 1, 0.5, Effect.KEYED, true, 15_000, false),
-            new Relay.MessageClass(1000, 5000, 2, 0, Effect.SAFE, false, 0, false));
+            new Relay.MessageClass(1000, 5000, 2, 0, Effect.SAFE, false, 0, false),
+            new Relay.MessageClass(5000, 5000, 1, 0, Effect.SAFE, false, 0, false));
 }
--- /dev/null
+++ b/src/test/java/kestreldeal/ParamsTest.java
@@ -0,0 +1,33 @@
+package kestreldeal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Settings that are odd, missing or of no sense. */
+class ParamsTest {
+    private static Map<String, String> plain() {
+        return new HashMap<>(Map.of("classes.count", "1", "classes.0.aim_ms", "1000", "classes.0.give_up_ms", "5000",
+                "classes.0.repeat", "safe", "fleet_size", "3", "family_info.workers", "4", "limits.most_tries", "8",
+                "rules.start_capacity", "0.2", "rules.warm_after_ms", "1000", "rules.fall_multiple", "2"));
+    }
+
+    @Test
+    void aFleetOfNoneCountsAsOneAndWithoutKindsThereIsOne() throws BadInput {
+        Map<String, String> values = plain();
+        values.put("rules.fall_ms", "1500");
+        values.put("fleet_size", "0");
+        Relay.Settings settings = new Params(values).settings();
+        assertEquals(1, settings.senders());
+        assertEquals(1, settings.kinds().size());
+    }
+
+    @Test
+    void whatMustBeThereIsAskedForByName() {
+        assertEquals("setting rules.fall_ms is missing",
+                assertThrows(BadInput.class, () -> new Params(plain()).settings()).getMessage());
+    }
+}
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -24,6 +24,7 @@
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -43,6 +44,9 @@
     private volatile boolean agentUp = true;
     private volatile int reportStatus = 204;
     private boolean known = true;
+    private int fleet = 1;
+    /** Endpoints of other destinations, numbered on from the two. */
+    private int others;
     private String listen = "127.0.0.1:0";
     private Sender sender;
     private InetSocketAddress address;
@@ -98,12 +102,14 @@
     private String list() {
         String[] state = states.split(" ");
         return "{\"generation\":" + generation() + ",\"reset\":true,\"instances\":[" + entry(0, state[0]) + ","
-                + entry(1, state[1]) + "]}";
+                + entry(1, state[1]) + IntStream.range(2, 2 + others)
+                .mapToObj(i -> "," + entry(i, "SERVING")).collect(Collectors.joining()) + "]}";
     }
 
     private String entry(int number, String state) {
-        return "{\"instanceId\":\"s-" + number + "\",\"hostPort\":\"" + endpoints.get(number).hostPort()
-                + "\",\"zone\":\"a\",\"machineType\":\"m\",\"cell\":7,\"lifecycle\":\"" + state
+        return "{\"instanceId\":\"s-" + number + "\",\"hostPort\":\"" + endpoints.get(number % 2).hostPort()
+                + "\",\"zone\":\"a\",\"machineType\":\"m\",\"cell\":" + (number < 2 ? 7 : number)
+                + ",\"lifecycle\":\"" + state
                 + "\",\"weight\":1.0,\"startedAtMs\":0}";
     }
 
@@ -117,10 +123,11 @@
                  "limits":{"memory_mb":192,"sockets":256,"disk_mb":3},"known":%s,
                  "settings":{"classes":[%s],"tenants":[{"name":"acme"}],"flavors":["m"],"zones":["a"],
                   "family_info":{"workers":10,"batch_by_kind":[1],"separate_routes":[false]},
-                  "fleet_size":1,"limits":{"most_tries":12,"second_copies":false,"cancel":true,"max_open":%d,
+                  "fleet_size":%d,"limits":{"most_tries":12,"second_copies":false,"cancel":true,"max_open":%d,
                    "dial_timeout_ms":1000,"keepalive_ms":15000},
                   "rules":{"start_capacity":0.2,"warm_after_ms":12000,"fall_multiple":2,"fall_ms":1500}}}
-                """.formatted(listen, agent.hostPort(), known ? list() : "null", classes, MAX_OPEN));
+                """.formatted(listen, agent.hostPort(), known ? list() : "null", classes, fleet,
+                        MAX_OPEN));
         return Config.read(Map.of("GW_CONFIG", file.toString(), "GW_STATE", folder.resolve("state").toString(),
                 "TMPDIR", folder.toString()));
     }
@@ -267,6 +274,24 @@
         assertEquals(0, figure("endpoints_excluded"));
     }
 
+    @Test
+    void aThousandEndpointsAndSendersAreReadStoredAndServedAfterAKill() throws Exception {
+        others = 1022;
+        fleet = 1024;
+        script(Stub.silent());
+        start();
+        String last = message("last", "order", "hello").replace("dest=7", "dest=1023");
+        assertEquals("HTTP/1.1 202 Accepted", ask(client(), last).line());
+        Stub.await("it is out", () -> calls().size() == 1);
+        assertEquals("200 ok\n", operator("POST", "/endpoints/s-1022/maint"));
+        script(Stub.status(200, ""));
+        killAndStart();
+        awaitNothingHeld();
+        assertEquals(1024, figure("endpoints_known"));
+        assertEquals(1, figure("endpoints_excluded"));
+        assertEquals(List.of(), notices, "it was delivered");
+    }
+
     @Test
     void theFiguresCountEachEndOnce() throws Exception {
         start();
