Where tables are full let nothing idle for a call that usually comes later

A call takes 100 to 112 ms there in the mean, connecting included, and its connection then idled for 86 ms (crowdedNanos: the keep-alive time over fleet_size), nearly half of its time in the table. Of 2236 calls that followed another of the same sender at the same nursery 73 came within these 86 ms, 2038 after more than 300 ms.

Peer.mayIdle: at a kind that turned a new connection away for its table, a connection idles only where the usual gap to the next exchange, as this sender saw it, is within the time that it may idle. Fleets of few senders with calls that follow closely keep theirs; the test shows both.

Ruled out: late closes (each idle connection has its own timer), connections held by a refusal (those are closed).

--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -33,8 +33,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import kestreldeal.Relay.Outcome;
 
 /**
@@ -46,6 +48,8 @@
     /** Idle connections are dropped at this share of the time after which an endpoint drops them. */
     private static final double IDLE_SHARE = 0.8;
     private static final long SWEEP_MS = 500;
+    /** Weight of a new gap between exchanges in the usual one. */
+    private static final double GAP_WEIGHT = 0.25;
     /** Longest body of an exchange, and longest answer that is read: the protocol's bound for both. */
     private static final int LONGEST_BODY = 64 * 1024;
 
@@ -70,6 +74,7 @@
     }
 
     private final EventLoop loop;
+    private final LongSupplier nanos;
     private final Ends ends;
     private final Bootstrap bootstrap;
     private final long idleNanos;
@@ -84,7 +89,14 @@
     private int idle;
 
     Endpoints(EventLoop loop, double dialMs, double keepAliveMs, int senders, int mostIdle, Ends ends) {
+        this(loop, System::nanoTime, dialMs, keepAliveMs, senders, mostIdle, ends);
+    }
+
+    /** With a clock of its own for how long connections idle. */
+    Endpoints(EventLoop loop, LongSupplier nanos, double dialMs, double keepAliveMs, int senders, int mostIdle,
+            Ends ends) {
         this.loop = loop;
+        this.nanos = nanos;
         this.ends = ends;
         this.idleNanos = (long) (keepAliveMs * IDLE_SHARE * 1e6);
         this.crowdedNanos = idleNanos / Math.max(1, senders);
@@ -168,7 +180,7 @@
 
     /** Closes what an endpoint would soon close itself: a call that crosses its close would be lost. */
     private void sweep() {
-        long now = System.nanoTime();
+        long now = nanos.getAsLong();
         for (Peer peer : peers.values()) {
             List<Connection> old = peer.idle.stream().filter(c -> now - c.idleSince > peer.idleNanos()).toList();
             old.forEach(Connection::close);
@@ -183,6 +195,9 @@
         /** What this turn sends here, as long as it has room. */
         Exchange gathering;
         final Deque<Connection> idle = new ArrayDeque<>();
+        /** How long it usually is from the end of an exchange to the next one, as far as seen. */
+        private double usualGapNanos;
+        private OptionalLong endedAt = OptionalLong.empty();
 
         Peer(long endpoint) {
             this.endpoint = endpoint;
@@ -193,11 +208,24 @@
             return crowded.contains(kind) ? crowdedNanos : idleNanos;
         }
 
+        void exchangeBegins() {
+            endedAt.ifPresent(at -> usualGapNanos += GAP_WEIGHT * (nanos.getAsLong() - at - usualGapNanos));
+        }
+
+        void exchangeEnds() {
+            endedAt = OptionalLong.of(nanos.getAsLong());
+        }
+
+        /** Whether a connection may idle at all: in a full table not for a call that usually comes too late for it. */
+        boolean mayIdle() {
+            return usualGapNanos <= idleNanos() || !crowded.contains(kind);
+        }
+
         Connection newestIdle() {
             while (!idle.isEmpty()) {
                 Connection newest = idle.removeLast();
                 Endpoints.this.idle--;
-                if (newest.isOpen() && System.nanoTime() - newest.idleSince <= idleNanos()) {
+                if (newest.isOpen() && nanos.getAsLong() - newest.idleSince <= idleNanos()) {
                     return newest;
                 }
                 newest.close();
@@ -313,6 +341,7 @@
             if (nobodyWaits()) {
                 return;
             }
+            peer.exchangeBegins();
             Connection kept = peer.newestIdle();
             if (kept != null) {
                 write(kept);
@@ -525,6 +554,7 @@
             if (part instanceof LastHttpContent && !interim) {
                 exchange.whole(answer);
                 exchange = null;
+                peer.exchangeEnds();
                 answer.clear();
                 if (keep) {
                     rest();
@@ -536,8 +566,8 @@
 
         /** Is kept for the next exchange, if there is room. */
         void rest() {
-            if (idle < mostIdle && channel.isActive()) {
-                idleSince = System.nanoTime();
+            if (idle < mostIdle && channel.isActive() && peer.mayIdle()) {
+                idleSince = nanos.getAsLong();
                 peer.idle.addLast(this);
                 idle++;
                 if (crowded.contains(peer.kind)) {
@@ -549,7 +579,7 @@
         }
 
         private void closeUnused() {
-            if (exchange == null && System.nanoTime() - idleSince >= crowdedNanos) {
+            if (exchange == null && nanos.getAsLong() - idleSince >= crowdedNanos) {
                 close();
             }
         }
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import kestreldeal.Relay.Outcome;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -45,40 +46,43 @@
     private final BlockingQueue<String> closed = new LinkedBlockingQueue<>();
     private volatile int written;
     private final BlockingQueue<String> waits = new LinkedBlockingQueue<>();
+    /** Where a test moves the clock of idle connections itself. */
+    private final AtomicLong nanos = new AtomicLong();
     private Endpoints endpoints;
     private Stub stub;
 
+    private final Endpoints.Ends told = new Endpoints.Ends() {
+        @Override
+        public void waitTold(long endpoint, double waitMs) {
+            waits.add(endpoint + " " + waitMs);
+        }
+
+        @Override
+        public void written(int messages) {
+            written += messages;
+        }
+
+        @Override
+        public boolean mayStart(Endpoints.Call call) {
+            return !barred.contains(call.held.id);
+        }
+
+        @Override
+        public void ended(Endpoints.Call call, Outcome outcome, boolean gone, double waitMs,
+                boolean open) {
+            ends.add(new End(outcome, gone, waitMs, open));
+        }
+
+        @Override
+        public void closed(Endpoints.Call call) {
+            closed.add(call.held.id);
+        }
+    };
+
     @BeforeEach
     void open() throws Exception {
         stub = new Stub(Stub.status(200, ""));
-        endpoints = new Endpoints(loop, 1000, 15_000, SENDERS, 4,
-                new Endpoints.Ends() {
-                    @Override
-                    public void waitTold(long endpoint, double waitMs) {
-                        waits.add(endpoint + " " + waitMs);
-                    }
-
-                    @Override
-                    public void written(int messages) {
-                        written += messages;
-                    }
-
-                    @Override
-                    public boolean mayStart(Endpoints.Call call) {
-                        return !barred.contains(call.held.id);
-                    }
-
-                    @Override
-                    public void ended(Endpoints.Call call, Outcome outcome, boolean gone, double waitMs,
-                            boolean open) {
-                        ends.add(new End(outcome, gone, waitMs, open));
-                    }
-
-                    @Override
-                    public void closed(Endpoints.Call call) {
-                        closed.add(call.held.id);
-                    }
-                });
+        endpoints = new Endpoints(loop, 1000, 15_000, SENDERS, 4, told);
         at(stub.address());
     }
 
@@ -373,6 +377,25 @@
         Stub.await("the idle connection is closed", () -> kept() == 0);
     }
 
+    /** Seen on herd+mass: the next call came a second later, and idling was nearly half of the time in the table. */
+    @Test
+    void whereTablesAreFullNoConnectionIdlesForACallThatUsuallyComesLater() throws Exception {
+        endpoints = new Endpoints(loop, nanos::get, 1000, 15_000, 2, 4, told);
+        at(stub.address());
+        expect(Outcome.FULL, Stub.status(503, "Connection: close\r\n"));
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+        assertEquals(1, kept(), "nothing speaks against it yet");
+        for (int call = 0; call < 2; call++) {
+            nanos.addAndGet(TimeUnit.SECONDS.toNanos(20));
+            expect(Outcome.DELIVERED, Stub.status(200, ""));
+        }
+        assertEquals(0, kept(), "the next call would come after the 6 s that it may idle");
+        for (int call = 0; call < 3; call++) {
+            expect(Outcome.DELIVERED, Stub.status(200, ""));
+        }
+        assertEquals(1, kept(), "calls follow each other closely again");
+    }
+
     /** A refusal on a kept connection, or one that leaves a new one open, tells nothing of the table. */
     @Test
     void aRefusedCallAloneMakesNoTableFull() throws Exception {
