--- a/src/main/java/kestreldeal/net/Held.java
+++ b/src/main/java/kestreldeal/net/Held.java
@@ -35,6 +35,8 @@
         final String endpoint;
         final long sentAtMs;
         boolean neverRan;
+        /** The journal has it: one that it could not take was never made, and has no place there. */
+        boolean journalled;
 
         Attempt(String endpoint, long sentAtMs) {
             this.endpoint = endpoint;
--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -101,13 +101,16 @@
     /** An attempt is about to be made; it counts as one that may have run from here on. */
     void attempt(Held held, Held.Attempt attempt) throws IOException {
         append(held, record(attemptRecord(held, attempt)));
+        attempt.journalled = true;
         held.attempts.add(attempt);
     }
 
     /** An end proved that the attempt never ran; if this is lost, it counts as one that may have. */
     void neverRan(Held held, int attempt) throws IOException {
         held.attempts.get(attempt).neverRan = true;
-        append(held, record(neverRanRecord(held, attempt)));
+        if (held.attempts.get(attempt).journalled) {
+            append(held, record(neverRanRecord(held, attempt)));
+        }
     }
 
     /** The message has ended by a notice that is still to be heard. */
@@ -283,7 +286,8 @@
         return out -> {
             out.writeByte(NEVER_RAN);
             out.writeLong(held.number);
-            out.writeInt(attempt);
+            // By its place among those that the file has: the next life counts no others.
+            out.writeInt((int) held.attempts.subList(0, attempt).stream().filter(a -> a.journalled).count());
         };
     }
 
@@ -333,6 +337,9 @@
         for (Held held : live.values()) {
             bytes.write(record(takenRecord(held)));
             for (int i = 0; i < held.attempts.size(); i++) {
+                if (!held.attempts.get(i).journalled) {
+                    continue;
+                }
                 bytes.write(record(attemptRecord(held, held.attempts.get(i))));
                 if (held.attempts.get(i).neverRan) {
                     bytes.write(record(neverRanRecord(held, i)));
@@ -372,8 +379,9 @@
             }
             try {
                 apply(new DataInputStream(new ByteArrayInputStream(bytes, at + HEAD, length)), HEAD + length);
-            } catch (IOException e) {
-                break;
+            } catch (IOException | RuntimeException e) {
+                // It is whole, so it is not torn: another version's, or a fault of one. Those behind it count.
+                Log.line("a record of the journal is passed over: " + e.getMessage());
             }
             at += HEAD + length;
         }
@@ -411,7 +419,11 @@
             return;
         }
         switch (type) {
-            case ATTEMPT -> held.attempts.add(new Held.Attempt(in.readUTF(), in.readLong()));
+            case ATTEMPT -> {
+                Held.Attempt attempt = new Held.Attempt(in.readUTF(), in.readLong());
+                attempt.journalled = true;
+                held.attempts.add(attempt);
+            }
             case NEVER_RAN -> held.attempts.get(in.readInt()).neverRan = true;
             case OWED -> {
                 held.owed = Optional.of(new Held.Notice(in.readBoolean(), in.readDouble()));
--- a/src/test/java/kestreldeal/net/JournalTest.java
+++ b/src/test/java/kestreldeal/net/JournalTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
@@ -14,6 +15,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.zip.CRC32;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -65,6 +67,61 @@
         }
     }
 
+    /** One that a full journal could not take was marked by its number, which a later one has in the file. */
+    @Test
+    void anAttemptThatWasNeverJournalledShiftsNoOther() throws Exception {
+        try (Journal journal = open()) {
+            Held held = held(journal, 3);
+            journal.taken(held);
+            held.attempts.add(new Held.Attempt("s-0", 100));
+            journal.attempt(held, new Held.Attempt("s-1", 200));
+            journal.neverRan(held, 0);
+            journal.attempt(held, new Held.Attempt("s-2", 300));
+            journal.neverRan(held, 2);
+            assertEquals(List.of(true, false, true), held.attempts.stream().map(a -> a.neverRan).toList());
+        }
+        for (int life = 0; life < 2; life++) {
+            try (Journal journal = open()) {
+                Held held = journal.held().iterator().next();
+                assertEquals(List.of("s-1", "s-2"), held.attempts.stream().map(a -> a.endpoint).toList());
+                assertEquals(List.of(false, true), held.attempts.stream().map(a -> a.neverRan).toList(),
+                        "what may have run must not be taken for what never did");
+                // Over the bound of the file, so that it is compacted meanwhile.
+                for (int i = 0; i < 60; i++) {
+                    Held other = held(journal, 4000);
+                    journal.taken(other);
+                    journal.ended(other);
+                }
+            }
+        }
+    }
+
+    @Test
+    void aWholeRecordThatMeansNothingHereHidesNoneBehindIt() throws Exception {
+        Path file = folder.resolve("journal");
+        try (Journal journal = open()) {
+            journal.taken(held(journal, 3));
+        }
+        byte[] first = Files.readAllBytes(file);
+        try (Journal journal = open()) {
+            journal.taken(held(journal, 3));
+        }
+        byte[] both = Files.readAllBytes(file);
+        for (byte[] body : List.of(new byte[] {99, 0, 0, 0, 0, 0, 0, 0, 0}, new byte[] {99},
+                new byte[] {3, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 42})) {
+            CRC32 crc = new CRC32();
+            crc.update(body);
+            byte[] foreign = ByteBuffer.allocate(12 + body.length).putInt(body.length).putLong(crc.getValue())
+                    .put(body).array();
+            ByteBuffer mixed = ByteBuffer.allocate(both.length + foreign.length).put(first).put(foreign)
+                    .put(both, first.length, both.length - first.length);
+            Files.write(file, mixed.array());
+            try (Journal journal = open()) {
+                assertEquals(2, journal.held().size());
+            }
+        }
+    }
+
     @Test
     void aTornTailIsDroppedAndWrittenOver() throws Exception {
         try (Journal journal = open()) {
