Read what has come in before what falls due is run

While it reads, a call's time may pass and its answer come to a connection that was not ready when the reading began; the time-out then went first. What was delivered counted as timed out: a safe message went out again, an unsafe one ended as failed. The same holds for the wake on which the module decides, for the limit of a request and for the agent's.

Forced in EndpointsTest.anAnswerThatLiesInTheSocketGoesBeforeATimeOutThatIsDue: while the loop stands in one connection's event, the peer answers on another and the time passes; without the mend it ends TIMED_OUT, DELIVERED.

Due schedules what falls due once more with no delay, which the loop looks at only after its next reading. Who is called so late looks whether it still counts. Right as it was, and tested now: a cancel crossing an answer, a cancel after one, a call crossing the endpoint's close.

--- a/src/main/java/kestreldeal/net/Agent.java
+++ b/src/main/java/kestreldeal/net/Agent.java
@@ -74,7 +74,7 @@
                 .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
         Request mine = new Request(then);
         current = mine;
-        mine.timer = loop.schedule(() -> fail(mine), limitMs, TimeUnit.MILLISECONDS);
+        mine.timer = Due.in(loop, limitMs, TimeUnit.MILLISECONDS, () -> fail(mine));
         if (channel != null && channel.isActive()) {
             channel.writeAndFlush(request);
             return;
@@ -103,6 +103,9 @@
     }
 
     private void fail(Request request) {
+        if (current != request) {
+            return;
+        }
         if (channel != null) {
             channel.close();
             channel = null;
--- /dev/null
+++ b/src/main/java/kestreldeal/net/Due.java
@@ -0,0 +1,22 @@
+package kestreldeal.net;
+
+import io.netty.util.concurrent.EventExecutor;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What falls due by time, after what has come in by then. The loop reads, then runs what is due; while it read, the
+ * time of a call or a wait may have passed, and an answer come that lies unread. So what is due waits for one more
+ * reading: a task that is scheduled while tasks run is looked at only after it.
+ */
+final class Due {
+    private Due() {
+    }
+
+    /** Cancelled too late, the task still runs: it has to see for itself that it is of no more use. */
+    static Future<?> in(EventExecutor loop, long delay, TimeUnit unit, Runnable task) {
+        return loop.schedule(() -> {
+            loop.schedule(task, 0, TimeUnit.NANOSECONDS);
+        }, delay, unit);
+    }
+}
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -253,8 +253,7 @@
             this.held = held;
             this.attempt = attempt;
             this.timeoutMs = timeoutMs;
-            this.timer = loop.schedule(this::timedOut, (long) Math.ceil(timeoutMs * 1000),
-                    TimeUnit.MICROSECONDS);
+            this.timer = Due.in(loop, (long) Math.ceil(timeoutMs * 1000), TimeUnit.MICROSECONDS, this::timedOut);
         }
 
         private void timedOut() {
--- a/src/main/java/kestreldeal/net/RequestDeadline.java
+++ b/src/main/java/kestreldeal/net/RequestDeadline.java
@@ -43,7 +43,13 @@
 
     private void begin(ChannelHandlerContext ctx) {
         if (timer == null) {
-            timer = ctx.executor().schedule(() -> ctx.close(), limitMs, TimeUnit.MILLISECONDS);
+            Future<?>[] mine = new Future<?>[1];
+            mine[0] = Due.in(ctx.executor(), limitMs, TimeUnit.MILLISECONDS, () -> {
+                if (timer == mine[0]) {
+                    ctx.close();
+                }
+            });
+            timer = mine[0];
         }
     }
 
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -382,7 +382,7 @@
     @Override
     public void wakeAt(double time) {
         long nanos = (long) (time * 1e6) - (System.nanoTime() - startNanos);
-        loop.schedule(() -> event(() -> relay.wake(openTurn())), Math.max(0, nanos), TimeUnit.NANOSECONDS);
+        Due.in(loop, Math.max(0, nanos), TimeUnit.NANOSECONDS, () -> event(() -> relay.wake(openTurn())));
     }
 
     @Override
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -19,6 +20,7 @@
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -43,6 +45,7 @@
     private final EventLoop loop = group.next();
     private final BlockingQueue<End> ends = new LinkedBlockingQueue<>();
     private final Set<String> barred = ConcurrentHashMap.newKeySet();
+    private volatile Runnable beforeStart = () -> { };
     private final BlockingQueue<String> closed = new LinkedBlockingQueue<>();
     private volatile int written;
     private final BlockingQueue<String> waits = new LinkedBlockingQueue<>();
@@ -64,6 +67,7 @@
 
         @Override
         public boolean mayStart(Endpoints.Call call) {
+            beforeStart.run();
             return !barred.contains(call.held.id);
         }
 
@@ -359,6 +363,93 @@
         expect(Outcome.DELIVERED, Stub.status(200, ""));
     }
 
+    // ---- events that cross ----
+
+    /** The endpoint's side of each connection, in the order of the requests that it has read. */
+    private final List<Socket> sides = new CopyOnWriteArrayList<>();
+
+    private Endpoints.Call out(double timeoutMs) throws Exception {
+        stub.script((request, socket) -> sides.add(socket));
+        Endpoints.Call call = start(new byte[1], timeoutMs);
+        Stub.await("the call arrives", () -> sides.size() == 1);
+        return call;
+    }
+
+    private static void answer(Socket socket) {
+        try {
+            Stub.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /**
+     * While the loop reads, an answer comes to another connection and its call's time passes: the time-out went
+     * first, and a message that was delivered was sent again or given up.
+     */
+    @Test
+    void anAnswerThatLiesInTheSocketGoesBeforeATimeOutThatIsDue() throws Exception {
+        double timeoutMs = 2000;
+        Endpoints.Call first = out(timeoutMs);
+        stub.script(Stub.status(200, ""));
+        // Told while the loop reads, as the second connection is up: nothing else is read until this returns.
+        beforeStart = () -> {
+            answer(sides.get(0));
+            while (System.nanoTime() < first.startedNanos + (timeoutMs + 5) * 1e6) {
+                Thread.onSpinWait();
+            }
+        };
+        start(new byte[1], LONG_MS);
+        End delivered = new End(Outcome.DELIVERED, false, 0);
+        assertEquals(List.of(delivered, delivered), List.of(end(), end()));
+    }
+
+    @Test
+    void aCancelThatCrossesTheAnswerIsTheOneEnd() throws Exception {
+        Endpoints.Call call = out(LONG_MS);
+        loop.submit(() -> {
+            answer(sides.get(0));
+            endpoints.cancel(call);
+        }).sync();
+        assertEquals(new End(Outcome.CANCELLED, false, 0), end());
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+        assertEquals(1, stub.requests.get(1).connection(), "the late answer must not meet the next call");
+        assertTrue(ends.isEmpty());
+    }
+
+    @Test
+    void aCancelAfterTheAnswerWasReadChangesNothing() throws Exception {
+        Endpoints.Call call = out(LONG_MS);
+        answer(sides.get(0));
+        assertEquals(new End(Outcome.DELIVERED, false, 0), end());
+        awaitKept();
+        loop.submit(() -> endpoints.cancel(call)).sync();
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+        assertEquals(0, stub.requests.get(1).connection(), "its connection is another call's by now");
+        assertTrue(ends.isEmpty());
+    }
+
+    /** The close lies in the socket, unread, when the next call chooses the connection and is written whole. */
+    @Test
+    void aCallThatCrossesTheEndpointsCloseMayHaveRunAndItsConnectionCountsOnce() throws Exception {
+        Endpoints.Call first = out(LONG_MS);
+        answer(sides.get(0));
+        assertEquals(Outcome.DELIVERED, end().outcome());
+        awaitKept();
+        loop.submit(() -> {
+            sides.get(0).close();
+            endpoints.call(first.held, 1, 1, LONG_MS);
+            endpoints.flush();
+            return null;
+        }).sync();
+        assertEquals(new End(Outcome.BROKEN, false, 0), end());
+        assertEquals(1, stub.requests.size(), "the endpoint never read it");
+        assertEquals(0, kept());
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+        awaitKept();
+        assertTrue(ends.isEmpty());
+    }
+
     @Test
     void aDrainingOrMovedEndpointsIdleConnectionsAreClosed() throws Exception {
         expect(Outcome.DELIVERED, Stub.status(200, ""));
