Ask for the next list whatever became of the last one

Read off the code: Discovery.answered asks again only after the list is told. An exception on the way there was caught by the connection's handler, which closed it; no request was out then, so nobody asked again, and the sender went on with its last list for good. Now any fault counts as an unread answer, and the whole list is asked for.

Two more of the same watch: an entry that is DELETED needed a readable address, or the change was dropped and calls went on to what is gone; and a new address by SIGHUP waited for the pause that the old one's failures had grown, up to 3.2 s of the 4 s after which it counts as told. It is asked at once.

Three tests in DiscoveryTest, on a clock of their own, fail without the mends.

--- a/src/main/java/kestreldeal/net/Discovery.java
+++ b/src/main/java/kestreldeal/net/Discovery.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
@@ -40,7 +41,7 @@
     private static final long PAUSE_MS = 200;
     private static final int MOST_DOUBLINGS = 4;
 
-    /** One entry of the list, by the platform's names. */
+    /** One entry of the list, by the platform's names; one that is gone needs no address. */
     record Entry(String id, InetSocketAddress address, String zone, String kind, long destination,
                  boolean serving, boolean gone, double weight) {
     }
@@ -70,6 +71,8 @@
     private boolean silent;
     /** Calls that failed in a row. */
     private int failures;
+    /** Until when nothing is asked, if nothing is out. */
+    private Future<?> pause;
     private boolean stopped;
 
     Discovery(EventLoop loop, Source agent, Random random, Lists lists) {
@@ -120,6 +123,12 @@
     void moved(InetSocketAddress to) {
         generation = -1;
         agent.moved(to);
+        if (pause != null) {
+            // However long the old one was silent, the new one is asked now.
+            pause.cancel(false);
+            failures = 0;
+            watch();
+        }
     }
 
     private void ask(String path, long waitMs) {
@@ -137,7 +146,7 @@
         if (read) {
             watch();
         } else {
-            loop.schedule(this::watch, pauseMs(failures, random), TimeUnit.MILLISECONDS);
+            pause = loop.schedule(this::watch, pauseMs(failures, random), TimeUnit.MILLISECONDS);
         }
     }
 
@@ -148,6 +157,7 @@
 
     /** Before the first answer the whole list is asked for: what was known may be of another reckoning. */
     private void watch() {
+        pause = null;
         if (stopped) {
             return;
         }
@@ -167,8 +177,10 @@
             generation = list.path("generation").asLong();
             take(list, list.path("reset").asBoolean());
             return true;
-        } catch (IOException e) {
-            Log.line("discovery's answer can't be read: " + e.getMessage());
+        } catch (IOException | RuntimeException e) {
+            // Whatever is wrong with one list, the next must be asked for: nothing else ever would.
+            Log.line("discovery's answer can't be used: " + e.getMessage());
+            generation = -1;
             return false;
         }
     }
@@ -180,16 +192,16 @@
         }
         for (JsonNode e : news.path("instances")) {
             try {
-                if (e.path("lifecycle").asText().equals("DELETED")) {
-                    list.remove(e.path("instanceId").asText());
+                String id = e.path("instanceId").asText();
+                boolean gone = e.path("lifecycle").asText().equals("DELETED");
+                if (gone) {
+                    list.remove(id);
                 } else {
-                    list.put(e.path("instanceId").asText(), e);
+                    list.put(id, e);
                 }
-                entries.add(new Entry(e.path("instanceId").asText(),
-                        Config.address(e.path("hostPort").asText()), e.path("zone").asText(),
-                        e.path("machineType").asText(), e.path("cell").asLong(),
-                        e.path("lifecycle").asText().equals("SERVING"),
-                        e.path("lifecycle").asText().equals("DELETED"), e.path("weight").asDouble()));
+                entries.add(new Entry(id, gone ? null : Config.address(e.path("hostPort").asText()),
+                        e.path("zone").asText(), e.path("machineType").asText(), e.path("cell").asLong(),
+                        e.path("lifecycle").asText().equals("SERVING"), gone, e.path("weight").asDouble()));
             } catch (BadInput bad) {
                 Log.line("an entry of the list can't be read: " + bad.getMessage());
             }
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -513,8 +513,12 @@
             }
             int kind = Math.max(0, config.kinds().indexOf(e.kind()));
             List<Relay.Kind> kinds = config.settings().kinds();
-            endpoints.at(number, e.address(), e.serving(), kind,
-                    kinds.get(Math.min(kind, kinds.size() - 1)).batch());
+            if (e.gone()) {
+                endpoints.closeIdle(number);
+            } else {
+                endpoints.at(number, e.address(), e.serving(), kind,
+                        kinds.get(Math.min(kind, kinds.size() - 1)).batch());
+            }
             list.add(new Relay.Endpoint(number, e.destination(), kind,
                     Math.max(0, config.zones().indexOf(e.zone())), e.serving(), e.weight()));
         }
--- a/src/test/java/kestreldeal/net/DiscoveryTest.java
+++ b/src/test/java/kestreldeal/net/DiscoveryTest.java
@@ -1,6 +1,7 @@
 package kestreldeal.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -35,6 +36,9 @@
     private final List<Long> calls = new ArrayList<>();
     private final List<String> listed = new ArrayList<>();
     private long now;
+    private boolean out;
+    /** So many lists meet a fault. */
+    private int faults;
 
     /** A sender's list, and an agent that answers after so long, or not at all. */
     private Discovery sender(long seed, Optional<Long> answersAfterMs) {
@@ -45,20 +49,27 @@
             @Override
             public void ask(FullHttpRequest request, long limitMs, Consumer<Optional<FullHttpResponse>> then) {
                 calls.add(now);
+                out = true;
                 boolean inTime = answersAfterMs.filter(after -> after <= limitMs).isPresent();
                 FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
                         Unpooled.copiedBuffer(String.format(LIST, 2, "new"), StandardCharsets.UTF_8));
-                loop.eventLoop().schedule(() -> then.accept(inTime ? Optional.of(answer) : Optional.empty()),
-                        inTime ? answersAfterMs.get() : limitMs, TimeUnit.MILLISECONDS);
+                loop.eventLoop().schedule(() -> {
+                    out = false;
+                    then.accept(inTime ? Optional.of(answer) : Optional.empty());
+                }, inTime ? answersAfterMs.get() : limitMs, TimeUnit.MILLISECONDS);
             }
 
             @Override
             public void moved(InetSocketAddress to) {
-                throw new AssertionError("nobody moved");
+                assertFalse(out, "nothing is out in a pause");
             }
         };
-        return new Discovery(loop.eventLoop(), agent, new Random(seed),
-                (whole, entries) -> entries.forEach(e -> listed.add(e.id())));
+        return new Discovery(loop.eventLoop(), agent, new Random(seed), (whole, entries) -> {
+            if (faults-- > 0) {
+                throw new IllegalStateException("a fault while a list is told");
+            }
+            entries.forEach(e -> listed.add((e.gone() ? "gone " : "") + e.id()));
+        });
     }
 
     private void pass(long ms) {
@@ -85,6 +96,37 @@
         assertTrue(together <= SENDERS / 2, "calls within 100 ms: " + together);
     }
 
+    /** Nothing else ever asks again: a fault in one list left the sender with its last one for good. */
+    @Test
+    void afterAFaultWhileAListIsToldTheNextIsAskedForWhole() {
+        faults = 2;
+        sender(1, Optional.of(100L)).start(Optional.empty());
+        pass(1500);
+        assertEquals(List.of("new"), listed.subList(0, 1));
+    }
+
+    @Test
+    void anEndpointThatIsGoneNeedsNoAddress() throws Exception {
+        sender(1, Optional.empty()).start(Optional.of(JsonMapper.builder().build().readTree(
+                "{\"instances\":[{\"instanceId\":\"s-1\",\"lifecycle\":\"DELETED\"}]}")));
+        assertEquals(List.of("gone s-1"), listed);
+    }
+
+    /** What a new address tells counts as told after 4 s, and a pause alone could take 3.2 s of that. */
+    @Test
+    void aNewAddressIsAskedAtOnceHoweverLongTheOldOneWasSilent() {
+        Discovery discovery = sender(1, Optional.empty());
+        discovery.start(Optional.empty());
+        while (now < 20_000 || out) {
+            pass(STEP_MS);
+        }
+        int before = calls.size();
+        discovery.moved(new InetSocketAddress("127.0.0.1", 1));
+        assertEquals(before + 1, calls.size());
+        pass(2000 + 200);
+        assertEquals(before + 2, calls.size(), "its own failures count, not those of the old one");
+    }
+
     @Test
     void anAnswerThatIsLateForAllThatAreAskedIsTakenAndWhatIsKnownServesTillThen() throws Exception {
         JsonNode known = JsonMapper.builder().build().readTree(String.format(LIST, 1, "known"));
