End the start on foreign settings with one plain line

A configuration with no class, or with 0 workers, ended the start with a stack trace: Relay.Settings throws IllegalArgumentException, which Sender.serve did not take for bad input. A number that is not finite was read as one. A JSON error took three lines of the log. All three are mended where they lie; at SIGHUP the old settings stand.

--- a/src/main/java/kestreldeal/Params.java
+++ b/src/main/java/kestreldeal/Params.java
@@ -84,9 +84,13 @@
 
     private static double parse(String value) throws BadInput {
         try {
-            return Double.parseDouble(value);
+            double number = Double.parseDouble(value);
+            if (Double.isFinite(number)) {
+                return number;
+            }
         } catch (NumberFormatException e) {
-            throw new BadInput("not a number among the settings: " + value);
+            // Told below, like what no clock or count can mean.
         }
+        throw new BadInput("not a number among the settings: " + value);
     }
 }
--- a/src/main/java/kestreldeal/net/Log.java
+++ b/src/main/java/kestreldeal/net/Log.java
@@ -8,7 +8,8 @@
     private Log() {
     }
 
+    /** One line, whatever a message from elsewhere looks like. */
     static void line(String text) {
-        System.err.println(Instant.now().truncatedTo(ChronoUnit.MILLIS) + " " + text);
+        System.err.println(Instant.now().truncatedTo(ChronoUnit.MILLIS) + " " + text.replaceAll("\\s*\\R\\s*", " "));
     }
 }
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -113,7 +113,7 @@
             Runtime.getRuntime().addShutdownHook(new Thread(sender::drain, "drain"));
             sender.stopped.await();
             return 0;
-        } catch (BadInput | IOException e) {
+        } catch (BadInput | IOException | IllegalArgumentException e) {
             Log.line("can't start: " + e.getMessage());
             return 1;
         } catch (InterruptedException e) {
@@ -241,7 +241,7 @@
                     notices.moved(to);
                 }
             });
-        } catch (BadInput | IOException e) {
+        } catch (BadInput | IOException | IllegalArgumentException e) {
             Log.line("the new configuration can't be read, the old one stands: " + e.getMessage());
         }
     }
