Heed an end that is told before the start is over

Read off the code: the shutdown hook was set only after Sender.start had returned.

The hook comes first now, and with nothing begun the process just ends. SenderTest.anEndThatIsToldBeforeTheStartIsKept hangs without the mend.

--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -109,8 +109,9 @@
             Sender sender = new Sender(Config.read(env), TAKING_MS, CLOSING_MS, WARM_MS);
             // The JVM's own answer to SIGHUP is to end.
             Signal.handle(new Signal("HUP"), hangUp -> sender.reconfigure(env));
-            sender.start();
+            // SIGTERM may come at any moment: once the journal is owned, calls and clients are owed their ends.
             Runtime.getRuntime().addShutdownHook(new Thread(sender::drain, "drain"));
+            sender.start();
             sender.stopped.await();
             return 0;
         } catch (BadInput | IOException | IllegalArgumentException e) {
@@ -135,7 +136,7 @@
             // Nobody waits for this process: clients come once it is ready, or the old one still serves.
             Warmup.run(config, loop, warmMs);
         }
-        loop.execute(takeover::begin);
+        loop.execute(this::takeOver);
         try {
             InetSocketAddress address = serving.get();
             Log.line(config.name() + " listens at " + Endpoints.hostPort(address));
@@ -147,6 +148,13 @@
         }
     }
 
+    /** Told to end before it owned anything, this process is not to begin. */
+    private void takeOver() {
+        if (!closing) {
+            takeover.begin();
+        }
+    }
+
     private void open() {
         int sockets = Math.max(config.sockets() - OTHER_SOCKETS, 64);
         int slots = config.settings().slots();
@@ -917,6 +925,11 @@
         long begun = System.nanoTime();
         loop.execute(() -> {
             closing = true;
+            if (handover == null) {
+                // Nothing is begun, and nothing will be.
+                stopped.countDown();
+                return;
+            }
             if (handover.left()) {
                 awaitIdle(begun);
                 return;
