Call for what a restart finds untried, and let no message cost another there

Asked of a restart now: what it finds taken on and never called for is still tried.

Why: after a start a pace begins at the even part of the listed rate, a call in 5 to 10 s for one of a hundred senders, and what lives 5 s died behind the first. Ruled out: slots (none in use then), the list (known at once), the end of the class's time.

Now such a message goes once ahead of the pace, at random within the first half of its time; waits, drains, health, ramps and order of keys hold as before. The rule on a backlog with trouble counts all that is left for the destination, at the end of the turn. Also read off the code: a refused message whose destination is listed later was given up at once, and a fault in one message dropped all behind it; each is guarded for itself now. The log tells how the untried fared.

Tests: four in LogicTest, in SenderTest a folder after a kill and one after SIGTERM, with every effect and a destination that is listed late, one back after trouble, one with a limit; all fail without the mends.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -98,7 +98,7 @@
     /** Overdue calls without any answer since, after which an endpoint counts as silent. */
     private static final int SILENT_CALLS = 2;
     private static final double SILENT_DEVIATIONS = 4;
-    /** Bad ends or refusals in a row over at least so long, without a delivery, mean shut or dead. */
+    /** Bad ends or refusals in a row over so long, or in a backlog, without a delivery, mean shut or dead. */
     private static final int SHUT_ENDS = 3;
     private static final double SHUT_MS = 2500;
     /** Pause between trials of what is down: least; at most, times the senders and in warm-ups. */
@@ -112,9 +112,6 @@
     private static final double DEMAND_SHARE = 0.7;
     private static final double CARRIED_LEAST_MS = 2000;
 
-    /** So many messages of an earlier life with trouble at one destination may mean an outage. */
-    private static final int LEAST_BACKLOG = 3;
-
     // Connections.
     /** A connection without use for so long counts as idle. */
     private static final double IDLE_LEAST_MS = 100;
@@ -123,10 +120,7 @@
     private static final double TRUST_MEMORY_MS = 30_000;
 
     // The queue.
-    /**
-     * Rank is the worth lost by waiting until what waits there is through at its pace, and so long at least.
-     * Where a queue outlasts long lives too these lose all, so short ones don't always go first.
-     */
+    /** Rank is the worth lost by waiting until the queue there is through, and so long at least. */
     private static final double RANK_HORIZON_MS = 1500;
     /** Weight of plain worth in the rank, to settle ties between messages that lose nothing yet. */
     private static final double RANK_WORTH = 0.01;
@@ -275,9 +269,7 @@
             d.attempts.add(new Attempt(Optional.ofNullable(targets.get(earlier.endpoint())), earlier));
         }
         keys.resumed(d);
-        if (!attempts.isEmpty()) {
-            giveUpInTime(d);
-        }
+        giveUpInTime(d);
         if (!d.ended) {
             d.destination.resumed(d);
         }
@@ -389,11 +381,7 @@
     @Override
     public void withdrawn(double now, long message) {
         tick(now);
-        Delivery d = deliveries.get(message);
-        if (d != null && !d.ended) {
-            close(d);
-            forget(d);
-        }
+        Optional.ofNullable(deliveries.get(message)).ifPresent(this::close);
     }
 
     @Override
@@ -484,7 +472,7 @@
                 && clock + target.expectedEnd(d.type) <= closesAt;
     }
 
-    /** Whether one more attempt there keeps the promise that no effect happens twice. */
+    /** Whether one more attempt there, or anywhere (null), keeps the promise that no effect happens twice. */
     private boolean mayRepeat(Delivery d, Target target) {
         for (Attempt earlier : d.attempts) {
             if (!earlier.out && !earlier.mayHaveRun) {
@@ -495,7 +483,8 @@
             }
             if (d.type.effect() == Effect.KEYED
                     && (clock > earlier.sentAt + d.type.windowMs() - WINDOW_MARGIN_MS
-                    || d.type.sameZone() && !earlier.isInZoneOf(target))) {
+                    || d.type.sameZone() && target != null && earlier.target
+                            .filter(t -> t.entry.zone() == target.entry.zone()).isEmpty())) {
                 return false;
             }
         }
@@ -555,24 +544,17 @@
      * passed. Guards against an answer that is held back until the deadline, when it is of no more use.
      */
     private void giveUpInTime(Delivery d) {
-        if (!mayGoOn(d)) {
+        List<Target> known = d.destination.targets;
+        if (d.attempts.size() >= settings.maxAttempts() || clock >= d.deadline - ANSWER_MARGIN_MS
+                || !(known.isEmpty() ? mayRepeat(d, null) : known.stream().anyMatch(t -> mayRepeat(d, t)))) {
             finish(d);
         } else if (d.type.effect() == Effect.KEYED) {
             d.attempts.stream().filter(a -> a.mayHaveRun).mapToDouble(a -> a.sentAt).min().ifPresent(first ->
-                    timers.add(first + d.type.windowMs() - WINDOW_MARGIN_MS + CLOCK_MARGIN_MS, () -> {
-                        if (!mayGoOn(d)) {
-                            finish(d);
-                        }
-                    }));
+                    timers.add(first + d.type.windowMs() - WINDOW_MARGIN_MS + CLOCK_MARGIN_MS,
+                            () -> giveUpInTime(d)));
         }
     }
 
-    /** Whether a further attempt can still be allowed somewhere. */
-    private boolean mayGoOn(Delivery d) {
-        return d.attempts.size() < settings.maxAttempts() && clock < d.deadline - ANSWER_MARGIN_MS
-                && d.destination.targets.stream().anyMatch(t -> mayRepeat(d, t));
-    }
-
     /** The final answer of what waits undelivered: refused where trying again is harmless, else failed. */
     private void finish(Delivery d) {
         if (d.ended || d.out > 0) {
@@ -586,7 +568,6 @@
             d.unheard = !actions.fail(d.message.id());
         }
         close(d);
-        forget(d);
     }
 
     /** Ends a message and cancels what is redundant. */
@@ -604,6 +585,7 @@
                 actions.cancel(d.message.id(), i);
             }
         }
+        forget(d);
     }
 
     private void forget(Delivery d) {
@@ -639,6 +621,8 @@
         boolean ended;
         /** Ended by an answer that nobody has heard yet, until when its key waits. */
         boolean unheard;
+        /** An earlier life took it and never called for it. */
+        boolean pressing;
 
         Delivery(Message message, double at) {
             this.message = message;
@@ -673,7 +657,8 @@
 
         double rank() {
             double worth = worthAt(clock);
-            return worth - worthAt(clock + destination.horizon) + RANK_WORTH * worth;
+            return pressing && attempts.isEmpty() ? Double.POSITIVE_INFINITY
+                    : worth - worthAt(clock + destination.horizon) + RANK_WORTH * worth;
         }
     }
 
@@ -724,9 +709,6 @@
                             .orElse(-1L));
         }
 
-        boolean isInZoneOf(Target other) {
-            return target.filter(t -> t.entry.zone() == other.entry.zone()).isPresent();
-        }
     }
 
     /** Messages that travel as one: one slot, one fate. */
@@ -793,19 +775,30 @@
         int troubled;
 
         /**
-         * A backlog from an earlier life that had trouble here: most messages with attempts had them refused
-         * or repeated. Guards against a restart in an outage, which would send it all at once to what may
-         * just be coming back cold; so trials come first. A few messages can't push it over. One refusal is
-         * no outage, and what is late without an attempt may be so because this sender was ending, or gone.
+         * Where most of what an earlier life left was refused or repeated, trials come first: after a restart
+         * in an outage all would go at once to what may just be coming back cold. What was never called for
+         * goes once ahead of the pace, in the first half of its time, not all of it at one moment.
          */
         void resumed(Delivery d) {
-            if (d.attempts.isEmpty()) {
-                return;
-            }
+            boolean untried = d.attempts.isEmpty();
             backlog++;
-            troubled += d.attempts.size() > 1 || d.attempts.stream().noneMatch(a -> a.mayHaveRun) ? 1 : 0;
-            if (troubled >= LEAST_BACKLOG && 2 * troubled > backlog) {
-                targets.forEach(target -> target.down("had trouble before the restart"));
+            troubled += d.attempts.size() > 1 || !untried && !d.attempts.get(0).mayHaveRun ? 1 : 0;
+            timers.add(clock, () -> {
+                if (troubled >= SHUT_ENDS && 2 * troubled > backlog) {
+                    targets.forEach(target -> target.down("had trouble before the restart"));
+                }
+            });
+            if (untried) {
+                timers.add(clock + random.nextDouble() * d.message.timeLeftMs() / 2, () -> press(d));
+            }
+        }
+
+        private void press(Delivery d) {
+            d.pressing = !d.ended && d.attempts.isEmpty();
+            if (d.pressing && keys.mayGo(d)) {
+                targets.forEach(t -> t.limit.nextAt = Math.min(t.limit.nextAt, clock));
+            } else if (d.pressing) {
+                timers.add(clock + BACKOFF_MS, () -> press(d));
             }
         }
 
@@ -839,10 +832,6 @@
             return Math.max(clock, openings().min().orElse(clock));
         }
 
-        /** Fewer slots than stay free, lest a slow or silent one holds them all. */
-        boolean hasSlot() {
-            return out < Math.max(1, settings.slots() - slotsUsed - 1);
-        }
     }
 
     /** The pace and told wait of what shares one limit. Guards against refusals and broken waits. */
@@ -1039,9 +1028,11 @@
 
         /** Whether any message may go there now, as far as the endpoint, its limit and the slots decide. */
         boolean isOpen() {
+            // Fewer slots than stay free, lest a slow or silent destination holds them all.
+            boolean slot = slotsUsed < settings.slots()
+                    && destination.out < Math.max(1, settings.slots() - slotsUsed - 1);
             return takes() && limit.waitUntil <= clock
-                    && (mayJoin() || slotsUsed < settings.slots() && destination.hasSlot()
-                            && limit.nextAt <= clock && opensAt() <= clock);
+                    && (mayJoin() || slot && limit.nextAt <= clock && opensAt() <= clock);
         }
 
         boolean mayJoin() {
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import kestreldeal.BadInput;
 import kestreldeal.Relay;
 import kestreldeal.net.Inherited.Out;
@@ -78,6 +79,7 @@
     private Handover handover;
     private Takeover takeover;
     private final Inherited inherited = new Inherited();
+    private final Untried untried = new Untried();
     private StateLock lock;
     private boolean owner;
     /** Nothing is decided: a new process is taking over. */
@@ -91,22 +93,23 @@
     private final Set<Long> listed = new HashSet<>();
 
     Sender(Config config, long takingMs, long closingMs) {
-        this(config, takingMs, closingMs, 0);
+        this(config, takingMs, closingMs, 0, relay -> relay);
     }
 
-    Sender(Config config, long takingMs, long closingMs, long warmMs) {
+    /** {@code through} is what the module is told through: tests stand between. */
+    Sender(Config config, long takingMs, long closingMs, long warmMs, UnaryOperator<Relay> through) {
         this.config = config;
         this.warmMs = warmMs;
         this.takingMs = takingMs;
         this.closingMs = closingMs;
         this.stats = new Stats(config.classes());
-        this.relay = Relay.create(config.settings(), config.seed(), this);
+        this.relay = through.apply(Relay.create(config.settings(), config.seed(), this));
     }
 
     /** Runs a sender until it is told to end; returns the exit code. */
     public static int serve(Map<String, String> env) {
         try {
-            Sender sender = new Sender(Config.read(env), TAKING_MS, CLOSING_MS, WARM_MS);
+            Sender sender = new Sender(Config.read(env), TAKING_MS, CLOSING_MS, WARM_MS, relay -> relay);
             // The JVM's own answer to SIGHUP is to end.
             Signal.handle(new Signal("HUP"), hangUp -> sender.reconfigure(env));
             // SIGTERM may come at any moment: once the journal is owned, calls and clients are owed their ends.
@@ -262,39 +265,61 @@
         long wall = System.currentTimeMillis();
         int resumed = 0;
         for (Held held : journal.held()) {
-            int messageClass = config.classes().indexOf(held.messageClass);
-            if (held.over) {
-                if (messageClass >= 0) {
-                    relay.unheard(openTurn(), message(held, messageClass, held.deadlineMs - wall));
+            try {
+                resumed += replay(held, wall) ? 1 : 0;
+            } catch (RuntimeException e) {
+                // What the module can't take is ended here, as it is owed its end; those behind it go on.
+                fault(e);
+                if (!held.over) {
+                    giveUp(held);
                 }
-                notices.owe(held);
-                continue;
-            }
-            if (messageClass < 0) {
-                Log.line("class " + held.messageClass + " is gone; its message is given up");
-                end(held, new Held.Notice(false, 0));
-                continue;
-            }
-            double now = openTurn();
-            List<Relay.EarlierAttempt> earlier = new ArrayList<>();
-            for (Held.Attempt a : held.attempts) {
-                // A wall clock that was set back must not move a send into the future.
-                double sentAt = now - Math.max(0, wall - a.sentAtMs);
-                earlier.add(new Relay.EarlierAttempt(endpointNumber(a.endpoint), sentAt, !a.neverRan));
-            }
-            open.put(held.number, held);
-            byId.put(held.id, held);
-            held.told = true;
-            resumed++;
-            relay.resumed(now, message(held, messageClass, held.deadlineMs - wall), earlier);
+            }
         }
         Log.line(config.name() + " is ready, with " + resumed + " messages from its journal");
     }
 
+    /** Whether the message goes on in this life. */
+    private boolean replay(Held held, long wall) {
+        int messageClass = config.classes().indexOf(held.messageClass);
+        double leftMs = held.deadlineMs - wall;
+        if (held.over) {
+            notices.owe(held);
+            if (messageClass >= 0) {
+                relay.unheard(openTurn(), message(held, messageClass, leftMs));
+            }
+            return false;
+        }
+        if (messageClass < 0) {
+            Log.line("class " + held.messageClass + " is gone; its message is given up");
+            giveUp(held);
+            return false;
+        }
+        double now = openTurn();
+        List<Relay.EarlierAttempt> earlier = new ArrayList<>();
+        for (Held.Attempt a : held.attempts) {
+            // A wall clock that was set back must not move a send into the future.
+            double sentAt = now - Math.max(0, wall - a.sentAtMs);
+            earlier.add(new Relay.EarlierAttempt(endpointNumber(a.endpoint), sentAt, !a.neverRan));
+        }
+        open.put(held.number, held);
+        byId.put(held.id, held);
+        held.told = true;
+        if (earlier.isEmpty()) {
+            untried.found(held.number, leftMs);
+        }
+        relay.resumed(now, message(held, messageClass, leftMs), earlier);
+        return true;
+    }
+
+    /** Ends what the module does not know: its client may come again if it surely has not run. */
+    private void giveUp(Held held) {
+        end(held, new Held.Notice(held.attempts.stream().allMatch(a -> a.neverRan), 0));
+    }
+
     /** A list is known and the journal is read: this process can work. */
     private void begin() {
         ready = true;
-        event(this::replay);
+        replay();
     }
 
     private Relay.Message message(Held held, int messageClass, double leftMs) {
@@ -357,6 +382,7 @@
             loop.execute(() -> attemptEnded(held, number, Relay.Outcome.NOT_SENT, false, 0, 0, false));
             return;
         }
+        untried.called(message);
         calls.put(new Out(message, number), endpoints.call(held, number, endpoint, timeoutMs));
     }
 
@@ -484,6 +510,7 @@
 
     private void over(Held held) {
         held.over = true;
+        untried.ended(held.number);
         open.remove(held.number);
         byId.remove(held.id);
     }
@@ -957,6 +984,7 @@
         if (idle || System.nanoTime() - begun >= TimeUnit.MILLISECONDS.toNanos(closingMs)) {
             Log.line(config.name() + " ends; its journal holds " + open.size() + " messages and "
                     + notices.owed() + " notices");
+            untried.close();
             handover.close();
             stopped.countDown();
             return;
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -751,6 +751,78 @@
         b.allAnswered();
     }
 
+    /** Seen on herd+mass: of what a kill left untried a third had no call, as each waited for an even share's pace. */
+    @Test
+    void whatAnEarlierLifeNeverCalledForIsCalledForInTimeAheadOfThePaceAndNotAllAtOnce() {
+        Bench b = new Bench(40, 100, 7);
+        b.listedRate = 10;
+        b.list(1, 10);
+        b.until(20_000);
+        for (long id = 1; id <= 8; id++) {
+            b.resumeInTurn(id, SAFE, 1, 4000, List.of());
+        }
+        b.onSend = s -> b.endLater(s, Outcome.DELIVERED, 50);
+        b.relay.endTurn(b.now);
+        assertTrue(b.sends.size() <= 2, "at once: " + b.sends.size());
+        b.until(22_100);
+        assertEquals(8, b.sends.size(), "at a call in ten seconds they would all have died here");
+        b.take(9, SAFE, 1);
+        b.until(23_000);
+        assertEquals(8, b.sends.size(), "what is new keeps the pace");
+    }
+
+    @Test
+    void whatAnEarlierLifeNeverCalledForHeedsAWaitAndItsKeysOrder() {
+        Bench b = new Bench(40, 100, 7);
+        b.listedRate = 10;
+        b.list(1, 10);
+        b.until(20_000);
+        for (long id = 1; id <= 3; id++) {
+            Relay.Message m = new Relay.Message(id, UNSAFE, 0, Optional.of("key"), 6000, 1);
+            b.relay.resumed(b.now, m, List.of());
+        }
+        b.relay.endTurn(b.now);
+        b.relay.waitTold(b.now, 10, 1500);
+        b.until(21_490);
+        List<Long> before = b.sent();
+        assertTrue(before.size() <= 1, "the wait is heeded: " + before);
+        b.until(24_000);
+        assertEquals(List.of(1L), b.sent(), "one at a time");
+        b.relay.attemptEnded(b.now, new Relay.AttemptEnd(1, 0, Outcome.DELIVERED, 10, true, 0, false));
+        b.relay.endTurn(b.now);
+        b.until(24_300);
+        assertEquals(List.of(1L, 2L), b.sent(), "the next once it may");
+    }
+
+    /** The older ones had calls, and come first: three of them must not speak for all that follow. */
+    @Test
+    void aFewWithTroubleAmongManyUntriedAreNoOutage() {
+        Bench b = new Bench(40, 100, 7).list(1, 10);
+        b.until(20_000);
+        for (long id = 1; id <= 11; id++) {
+            b.resumeInTurn(id, SAFE, 1, 9000, id <= 4 ? List.of(earlier(1000, false)) : List.of());
+        }
+        b.relay.endTurn(b.now);
+        assertFalse(b.relay.avoids(10));
+    }
+
+    @Test
+    void whatWasRefusedWaitsForADestinationThatIsNotListedYet() {
+        for (int type : List.of(SAFE, KEYED, UNSAFE)) {
+            Bench b = new Bench();
+            b.until(20_000);
+            b.resume(1, type, 1, 9000, List.of(earlier(1000, false)));
+            assertEquals(List.of(), b.answers, "it surely has not run, and has time");
+            b.list(1, 10);
+            b.until(20_400);
+            assertEquals(List.of(1L), b.sent());
+        }
+        Bench b = new Bench();
+        b.until(20_000);
+        b.resume(1, UNSAFE, 1, 9000, List.of(earlier(1000, true)));
+        assertEquals(List.of("fail 1"), b.answers, "no list makes it repeatable");
+    }
+
     @Test
     void oneRefusalAndMessagesThatTheRestartMadeLateAreNoOutage() {
         Bench b = new Bench(40).list(1, 10);
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -7,6 +7,8 @@
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -17,14 +19,20 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import kestreldeal.Relay;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -44,9 +52,10 @@
     private volatile boolean agentUp = true;
     private volatile int reportStatus = 204;
     private boolean known = true;
+    private volatile BiConsumer<String, Object[]> beforeEvent = (event, arguments) -> { };
     private int fleet = 1;
     /** Endpoints of other destinations, numbered on from the two. */
-    private int others;
+    private volatile int others;
     private String listen = "127.0.0.1:0";
     private Sender sender;
     private InetSocketAddress address;
@@ -96,7 +105,7 @@
     }
 
     private String generation() {
-        return Integer.toString(1000 + states.hashCode() % 1000);
+        return Integer.toString(1000 + (states + others).hashCode() % 1000);
     }
 
     private String list() {
@@ -116,7 +125,8 @@
     private Config config() throws Exception {
         String classes = """
                 {"name":"order","aim_ms":2000,"give_up_ms":24000,"repeat":"keyed","window_ms":20000},
-                {"name":"once","aim_ms":2000,"give_up_ms":24000,"repeat":"unsafe","sequential":true}""";
+                {"name":"once","aim_ms":2000,"give_up_ms":24000,"repeat":"unsafe","sequential":true},
+                {"name":"plain","aim_ms":2000,"give_up_ms":24000,"repeat":"safe"}""";
         Path file = folder.resolve("config.json");
         Files.writeString(file, """
                 {"name":"n0","listen":"%s","ops":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
@@ -137,10 +147,23 @@
     }
 
     private void start(long closingMs) throws Exception {
-        sender = new Sender(config(), Sender.TAKING_MS, closingMs);
+        sender = new Sender(config(), Sender.TAKING_MS, closingMs, 0, this::watched);
         address = sender.start();
     }
 
+    /** The module, with what a test does before it is told of an event. */
+    private Relay watched(Relay relay) {
+        return (Relay) Proxy.newProxyInstance(Relay.class.getClassLoader(), new Class<?>[] {Relay.class},
+                (proxy, method, arguments) -> {
+                    beforeEvent.accept(method.getName(), arguments);
+                    try {
+                        return method.invoke(relay, arguments);
+                    } catch (InvocationTargetException e) {
+                        throw e.getCause();
+                    }
+                });
+    }
+
     private void killAndStart() throws Exception {
         sender.kill();
         start();
@@ -621,6 +644,146 @@
         assertEquals(1, calls().size());
     }
 
+    /** One message that the module can't take was owed for ever, and so were all that were taken after it. */
+    @Test
+    void aFaultInOneMessageOfTheJournalCostsNoOther() throws Exception {
+        try (Journal journal = new Journal(folder.resolve("state"), 3_000_000, 12)) {
+            for (String id : List.of("first", "faulty", "tried", "last")) {
+                untried(journal, id, "plain", 7, Optional.empty());
+            }
+            List<Held> held = List.copyOf(journal.held());
+            journal.attempt(held.get(2), new Held.Attempt("s-0", System.currentTimeMillis()));
+        }
+        beforeEvent = (event, arguments) -> {
+            if (event.equals("resumed") && ((Relay.Message) arguments[1]).id() == 1) {
+                throw new IllegalStateException("a fault");
+            }
+        };
+        start();
+        awaitNotice("{\"ref\":\"faulty\",\"result\":\"bounced\"}");
+        assertEquals(Set.of("first", "tried", "last"), calls().stream().map(c -> c.header("X-Call-Id"))
+                .collect(Collectors.toSet()));
+    }
+
+    private static Held untried(Journal journal, String id, String type, long destination,
+            Optional<String> thread) throws IOException {
+        Held held = new Held(journal.nextNumber(), id, type, "acme", Optional.of("key-" + id), thread, destination,
+                System.currentTimeMillis() + 15_000, "hello".getBytes(StandardCharsets.ISO_8859_1));
+        journal.taken(held);
+        return held;
+    }
+
+    /**
+     * What a restart finds taken on and untried, of every effect: at destinations of which one is listed only later,
+     * one had trouble and is back, and one has a limit; and with keys in order.
+     */
+    private List<String> leaveUntried() throws Exception {
+        List<String> untried = new ArrayList<>();
+        try (Journal journal = new Journal(folder.resolve("state"), 3_000_000, 12)) {
+            for (int i = 0; i < 5; i++) {
+                Held refused = untried(journal, "refused-" + i, "plain", 2, Optional.empty());
+                for (int attempt = 0; attempt < 2; attempt++) {
+                    journal.attempt(refused, new Held.Attempt("s-2", System.currentTimeMillis() - 3000));
+                    journal.neverRan(refused, attempt);
+                }
+            }
+            Held waits = untried(journal, "refused-later", "once", 4, Optional.of("alone"));
+            journal.attempt(waits, new Held.Attempt("s-4", System.currentTimeMillis() - 3000));
+            journal.neverRan(waits, 0);
+            for (int i = 0; i < 3; i++) {
+                for (int destination : List.of(7, 2, 3, 4)) {
+                    for (String type : List.of("order", "once", "plain")) {
+                        String id = type + "-" + destination + "-" + i;
+                        untried(journal, id, type, destination, Optional.of("thread-" + type + destination));
+                        untried.add(id);
+                    }
+                }
+            }
+        }
+        return untried;
+    }
+
+    /** Destination 3 takes a call each 100 ms, and tells the others to wait; all else is delivered. */
+    private void takeWithALimit() {
+        long[] free = new long[1];
+        script((request, socket) -> {
+            boolean limited = request.header("X-Call-Id").contains("-3-");
+            boolean taken;
+            synchronized (free) {
+                taken = !limited || System.nanoTime() >= free[0];
+                if (limited && taken) {
+                    free[0] = System.nanoTime() + 100_000_000;
+                }
+            }
+            Stub.status(taken ? 200 : 429, taken ? "" : "Retry-After: 0.1\r\n").come(request, socket);
+        });
+    }
+
+    private void allUntriedAreCalled(List<String> untried) throws Exception {
+        Stub.await("the destination that is not listed yet is all that waits", () -> journalled().stream()
+                .allMatch(h -> h.destination == 4));
+        others = 3;
+        awaitNothingHeld();
+        List<String> called = calls().stream().sorted(Comparator.comparingLong(Stub.Message::atNanos))
+                .map(c -> c.header("X-Call-Id")).distinct().toList();
+        assertEquals(List.of(), untried.stream().filter(id -> !called.contains(id)).toList(), "given up untried");
+        assertTrue(called.contains("refused-later"), "what never ran is tried as well");
+        assertEquals(List.of(), notices);
+        for (int destination : List.of(7, 2, 3, 4)) {
+            assertEquals(IntStream.range(0, 3).mapToObj(i -> "once-" + destination + "-" + i).toList(),
+                    called.stream().filter(id -> id.startsWith("once-" + destination)).toList(), "in order");
+        }
+    }
+
+    @Test
+    void whatARestartAfterAKillFindsUntriedIsStillTried() throws Exception {
+        List<String> untried = leaveUntried();
+        takeWithALimit();
+        others = 2;
+        fleet = 100;
+        start();
+        allUntriedAreCalled(untried);
+    }
+
+    @Test
+    void whatARestartAfterAnOrderlyEndFindsUntriedIsStillTried() throws Exception {
+        List<String> untried = leaveUntried();
+        takeWithALimit();
+        others = 2;
+        fleet = 100;
+        known = false;
+        agentUp = false;
+        start();
+        sender.drain();
+        sender.kill();
+        assertEquals(List.of(), calls(), "no list was known");
+        known = true;
+        agentUp = true;
+        start();
+        allUntriedAreCalled(untried);
+    }
+
+    /** A class that is gone, another effect, a destination that nobody lists, a torn tail: none costs another. */
+    @Test
+    void aFolderOfOtherSettingsCostsNoOtherMessage() throws Exception {
+        try (Journal journal = new Journal(folder.resolve("state"), 3_000_000, 12)) {
+            untried(journal, "gone", "a class of another customer", 7, Optional.empty());
+            journal.taken(new Held(journal.nextNumber(), "keyless", "order", "nobody", Optional.empty(),
+                    Optional.empty(), 7, System.currentTimeMillis() + 15_000, new byte[1]));
+            journal.taken(new Held(journal.nextNumber(), "nowhere", "plain", "acme", Optional.empty(), Optional.empty(),
+                    99, System.currentTimeMillis() + 3000, new byte[1]));
+            untried(journal, "good", "once", 7, Optional.empty());
+        }
+        Files.write(folder.resolve("state/journal"), new byte[] {0, 0, 0, 50, 1, 2, 3}, StandardOpenOption.APPEND);
+        start();
+        Stub.await("both notices", () -> notices.size() == 2);
+        awaitNothingHeld();
+        assertEquals(Set.of("keyless", "good"), calls().stream().map(c -> c.header("X-Call-Id"))
+                .collect(Collectors.toSet()));
+        assertTrue(notices.get(0).startsWith("{\"ref\":\"gone\",\"result\":\"bounced\""), notices.get(0));
+        assertTrue(notices.get(1).startsWith("{\"ref\":\"nowhere\",\"result\":\"bounced\""), notices.get(1));
+    }
+
     @Test
     void anOverdueMessageGetsItsNoticeAtOnce() throws Exception {
         earlierLife("order", 0, -5000, false);
@@ -792,6 +955,49 @@
         assertEquals(1, journalled().get(0).attempts.size());
     }
 
+    /** Told to end before it began: it hung until it was killed, as there was nothing to end yet. */
+    @Test
+    void anEndThatIsToldBeforeTheStartIsKept() throws Exception {
+        sender = new Sender(config(), Sender.TAKING_MS, Sender.CLOSING_MS);
+        Thread drain = new Thread(sender::drain);
+        drain.start();
+        drain.join(20_000);
+        assertFalse(drain.isAlive());
+    }
+
+    /** A connection that the kernel has taken, with its request, when the sender is told to end. */
+    @Test
+    void aRequestInTheAcceptQueueAtTheEndIsAnswered() throws Exception {
+        start();
+        CountDownLatch busy = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        beforeEvent = (event, arguments) -> {
+            if (event.equals("closing")) {
+                busy.countDown();
+                awaitLatch(go);
+            }
+        };
+        Thread drain = new Thread(sender::drain);
+        drain.start();
+        awaitLatch(busy);
+        // The loop stands in the drain: this connection and its request can only lie in the queue.
+        Socket late = client();
+        Stub.write(late, message("late", "plain", "hello"));
+        go.countDown();
+        Stub.Message answer = Stub.read(new BufferedInputStream(late.getInputStream()), 0);
+        assertEquals("HTTP/1.1 202 Accepted", answer.line());
+        drain.join();
+        assertEquals(1, calls().size() + journalled().size(), "delivered, or left to the next life");
+    }
+
+    private static void awaitLatch(CountDownLatch latch) {
+        try {
+            assertTrue(latch.await(30, TimeUnit.SECONDS));
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     /** The program itself, as a process: SIGKILL loses nothing, and SIGTERM ends it by its own will. */
     @Test
     void theProcessOutlivesItsSignals() throws Exception {
