Refuse at the door, with a time to come back, what a sender has no time for

Logic.message took a message on, answered 202 and then ended it by a notice when its queue and pace had no time for it. The decision is the same, but asked before the message is taken: Relay.turnsAway, and 503 with Retry-After at the door.

FleetTest.aSenderSendsAwayAtOnceWhatItsPaceHasNoTimeFor, asked at the door, fails without it.

--- a/src/main/java/kestreldeal/Drill.java
+++ b/src/main/java/kestreldeal/Drill.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 /** The adapter: the simulator's wire to {@link Relay} and back, for many instances. It decides nothing. */
@@ -179,7 +180,14 @@
         f.text("predicted_ms");
         long destination = f.whole("to_dest");
         Relay.Message message = new Relay.Message(id, messageClass, tenant, key, left, destination);
-        return () -> relay(instance).message(now, message);
+        return () -> {
+            OptionalDouble away = relay(instance).turnsAway(now, message);
+            if (away.isPresent()) {
+                action("BOUNCE", instance, id, away.getAsDouble());
+            } else {
+                relay(instance).message(now, message);
+            }
+        };
     }
 
     private Runnable attemptEnd(String instance, Fields f) throws BadInput {
--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -252,12 +253,19 @@
     @Override
     public void message(double now, Message message) {
         tick(now);
-        Delivery d = take(message);
-        d.destination.demand.count();
-        if (d.destination.hasNoTimeFor(d)) {
-            // While there is time, its client may find room at another sender.
-            finish(d);
+        take(message).destination.demand.count();
+    }
+
+    /** What is taken is kept as long as it can be; here its client may find room at another sender. */
+    @Override
+    public OptionalDouble turnsAway(double now, Message message) {
+        tick(now);
+        Delivery d = new Delivery(message, clock);
+        if (!d.destination.hasNoTimeFor(d)) {
+            return OptionalDouble.empty();
         }
+        d.destination.demand.count();
+        return OptionalDouble.of(d.destination.opensAt() - clock);
     }
 
     /** Demand is not counted: what comes back at once was asked for over a time that nobody knows. */
@@ -282,9 +290,6 @@
     }
 
     private Delivery take(Message message) {
-        if (message.messageClass() < 0 || message.messageClass() >= settings.classes().size()) {
-            throw new IllegalArgumentException("unknown class " + message.messageClass());
-        }
         if (deliveries.containsKey(message.id())) {
             throw new IllegalArgumentException("message " + message.id() + " was already taken");
         }
@@ -625,6 +630,9 @@
         boolean pressing;
 
         Delivery(Message message, double at) {
+            if (message.messageClass() < 0 || message.messageClass() >= settings.classes().size()) {
+                throw new IllegalArgumentException("unknown class " + message.messageClass());
+            }
             this.message = message;
             this.type = settings.classes().get(message.messageClass());
             this.destination = destinations.computeIfAbsent(message.destination(), id -> new Destination());
@@ -815,7 +823,7 @@
         /** Whether what waits already and is worth as much outlasts a message, though the paces may grow. */
         boolean hasNoTimeFor(Delivery d) {
             long ahead = queue.stream().filter(o -> o.destination == this && o.type.worth() >= d.type.worth())
-                    .count() - 1;
+                    .count();
             double through = (1 - Math.pow(1 + PACE_PROBE, -ahead)) / PACE_PROBE / pace();
             return pace() > 0 && targets.stream().allMatch(t -> t.state == State.UP)
                     && opensAt() + through > d.deadline;
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * The decision module's interface: what a sender tells it, what it tells the sender, and the values that
@@ -30,6 +31,12 @@
      */
     void endpoints(double now, boolean whole, List<Endpoint> entries);
 
+    /**
+     * Asked before a message is taken: if it is not to be, after how long its client may come again. One that is
+     * turned away is not known here; {@link #message} follows for one that is not.
+     */
+    OptionalDouble turnsAway(double now, Message message);
+
     /**
      * The sender has taken a message; exactly one of delivered, refused or failed ends it before its time is
      * up.
--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -68,15 +68,19 @@
                       Optional<String> thread, long destination, long budgetMs, byte[] body) {
     }
 
-    /** What became of a submission: taken, or refused with a reason. */
-    record Verdict(boolean taken, String reason, Consumer<Boolean> answered) {
+    /** What became of a submission: taken, or refused with a reason and a time to stay away, 0 if none is known. */
+    record Verdict(boolean taken, String reason, double waitMs, Consumer<Boolean> answered) {
         /** Taken; to be told whether the client has heard so, or never will. */
         static Verdict taken(Consumer<Boolean> answered) {
-            return new Verdict(true, "", answered);
+            return new Verdict(true, "", 0, answered);
         }
 
         static Verdict refused(String reason) {
-            return new Verdict(false, reason, heard -> { });
+            return refused(reason, 0);
+        }
+
+        static Verdict refused(String reason, double waitMs) {
+            return new Verdict(false, reason, waitMs, heard -> { });
         }
     }
 
@@ -292,21 +296,24 @@
             boolean close = !HttpUtil.isKeepAlive(request);
             desk.take(submission, verdict -> {
                 if (verdict.taken()) {
-                    end(ctx, close, HttpResponseStatus.ACCEPTED, "")
+                    end(ctx, close, answer(HttpResponseStatus.ACCEPTED, ""))
                             .addListener(f -> verdict.answered().accept(f.isSuccess()));
                 } else {
-                    end(ctx, close, HttpResponseStatus.SERVICE_UNAVAILABLE, verdict.reason());
+                    FullHttpResponse refusal = answer(HttpResponseStatus.SERVICE_UNAVAILABLE, verdict.reason());
+                    if (verdict.waitMs() > 0) {
+                        refusal.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(verdict.waitMs()));
+                    }
+                    end(ctx, close, refusal);
                 }
             });
         }
 
         private ChannelFuture end(ChannelHandlerContext ctx, FullHttpRequest request,
                 HttpResponseStatus status, String text, boolean close) {
-            return end(ctx, close || !HttpUtil.isKeepAlive(request), status, text);
+            return end(ctx, close || !HttpUtil.isKeepAlive(request), answer(status, text));
         }
 
-        private ChannelFuture end(ChannelHandlerContext ctx, boolean close, HttpResponseStatus status, String text) {
-            FullHttpResponse answer = answer(status, text);
+        private ChannelFuture end(ChannelHandlerContext ctx, boolean close, FullHttpResponse answer) {
             boolean last = close || closing || draining || left;
             if (last) {
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -330,6 +337,11 @@
         }
     }
 
+    /** As the protocol has it: with decimals. */
+    private static String seconds(double ms) {
+        return Double.toString(Math.ceil(ms) / 1000);
+    }
+
     private static FullHttpResponse answer(HttpResponseStatus status, String text) {
         FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                 Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -612,7 +613,8 @@
         /** What the new process says; if it is gone, nobody has the message. */
         private Intake.Verdict verdict(JsonNode reply) {
             if (!reply.path("taken").asBoolean()) {
-                return Intake.Verdict.refused(reply.path("reason").asText("not now"));
+                return Intake.Verdict.refused(reply.path("reason").asText("not now"),
+                        reply.path("waitMs").asDouble());
             }
             return Intake.Verdict.taken(heard -> handover.tell(Link.line("answered")
                     .put("message", reply.path("message").asLong()).put("heard", heard), () -> { }));
@@ -634,6 +636,11 @@
         Held held = new Held(journal.nextNumber(), s.id(), s.messageClass(), s.tenant(), s.key(), s.thread(),
                 s.destination(), System.currentTimeMillis() + s.budgetMs(), s.body());
         try {
+            OptionalDouble away = relay.turnsAway(openTurn(),
+                    message(held, config.classes().indexOf(held.messageClass), s.budgetMs()));
+            if (away.isPresent()) {
+                return Intake.Verdict.refused("no time for it here", away.getAsDouble());
+            }
             journal.taken(held);
         } catch (IOException e) {
             return Intake.Verdict.refused("no room");
@@ -912,7 +919,7 @@
                     takeover.tell(reply.put("message", number));
                 } else {
                     stats.ended(s.messageClass(), Stats.End.REFUSED);
-                    takeover.tell(reply.put("reason", verdict.reason()));
+                    takeover.tell(reply.put("reason", verdict.reason()).put("waitMs", verdict.waitMs()));
                 }
             } catch (IOException e) {
                 takeover.tell(Link.line("reply").put("n", line.path("n").asLong()).put("reason", "can't be read"));
--- a/src/main/java/kestreldeal/net/Warmup.java
+++ b/src/main/java/kestreldeal/net/Warmup.java
@@ -82,8 +82,10 @@
 
         void take() {
             int messageClass = messages % config.settings().classes().size();
-            relay.message(now, new Relay.Message(messages, messageClass, 0, Optional.of("k" + messages % 7), 5000,
-                    messages % (ENDPOINTS / 2)));
+            Relay.Message message = new Relay.Message(messages, messageClass, 0, Optional.of("k" + messages % 7), 5000,
+                    messages % (ENDPOINTS / 2));
+            relay.turnsAway(now, message);
+            relay.message(now, message);
             messages++;
             relay.endTurn(now);
         }
--- a/src/test/java/kestreldeal/Bench.java
+++ b/src/test/java/kestreldeal/Bench.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -114,7 +115,12 @@
         double left = type < LogicTest.CLASSES.size() ? LogicTest.CLASSES.get(type).deadlineMs() : 16_000;
         Relay.Message m = new Relay.Message(id, type, 0, Optional.of(key), left, destination);
         messages.put(id, m);
-        relay.message(now, m);
+        OptionalDouble away = relay.turnsAway(now, m);
+        if (away.isPresent()) {
+            refuse(id, away.getAsDouble());
+        } else {
+            relay.message(now, m);
+        }
         if (LogicTest.CLASSES.get(type).inOrder()) {
             byKey.computeIfAbsent(key, k -> new ArrayList<>()).add(id);
         }
