Let a killed sender's connections go, whatever its loop is doing

SenderTest.whatTheOldProcessHadOutMayHaveRunIfItIsKilled began to fail, then passed with a line of log beside the call: told to end with no quiet time while it runs tasks, the loop ended in that same turn, before it closes its channels, so the old process's link stayed open. Only tests end a sender so (Sender.kill); the program ends with its process. With a quiet time of 1 ms there is a further turn, which closes them.

--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -1007,6 +1007,7 @@
                 lock.close();
             }
         }).syncUninterruptibly();
-        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        // With no quiet time at all the loop may end in the turn in which it is told, its connections still open.
+        group.shutdownGracefully(1, 1000, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 }
