Read what has come before a drain ends by its closing time

Read off the code: drain's task at takingMs and each later look at the closing time end the process in the very turn in which they find the time over. Scheduling the look once more with Due was not enough: the first look comes from the task at takingMs. Ruled out: the order of the loop's own tasks, which is as told.

At fault: Sender.awaitIdle. The end found by time now waits for one more reading of the loop.

SenderTest.anAnswerThatHasComeGoesBeforeTheEndOfTheClosingTime holds the loop in a connection's event past the closing time while the peer answers on the other; without the mend the end comes first, every run.

--- a/src/main/java/kestreldeal/net/Due.java
+++ b/src/main/java/kestreldeal/net/Due.java
@@ -15,8 +15,11 @@
 
     /** Cancelled too late, the task still runs: it has to see for itself that it is of no more use. */
     static Future<?> in(EventExecutor loop, long delay, TimeUnit unit, Runnable task) {
-        return loop.schedule(() -> {
-            loop.schedule(task, 0, TimeUnit.NANOSECONDS);
-        }, delay, unit);
+        return loop.schedule(() -> next(loop, task), delay, unit);
+    }
+
+    /** Runs a task once the loop has read what has come by now. */
+    static void next(EventExecutor loop, Runnable task) {
+        loop.schedule(task, 0, TimeUnit.NANOSECONDS);
     }
 }
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -988,15 +988,22 @@
     private void awaitIdle(long begun) {
         boolean idle = handover.left() ? calls.isEmpty() && handover.unanswered() == 0 && intake.clients() == 0
                 : open.isEmpty() && notices.owed() == 0 && intake.clients() == 0;
-        if (idle || System.nanoTime() - begun >= TimeUnit.MILLISECONDS.toNanos(closingMs)) {
-            Log.line(config.name() + " ends; its journal holds " + open.size() + " messages and "
-                    + notices.owed() + " notices");
-            untried.close();
-            handover.close();
-            stopped.countDown();
-            return;
-        }
-        loop.schedule(() -> awaitIdle(begun), DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
+        if (idle) {
+            ended();
+        } else if (System.nanoTime() - begun >= TimeUnit.MILLISECONDS.toNanos(closingMs)) {
+            // Answers that have come by now are read first, however late this is.
+            Due.next(loop, this::ended);
+        } else {
+            loop.schedule(() -> awaitIdle(begun), DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void ended() {
+        Log.line(config.name() + " ends; its journal holds " + open.size() + " messages and "
+                + notices.owed() + " notices");
+        untried.close();
+        handover.close();
+        stopped.countDown();
     }
 
     /** Lets go of everything at once, as the end of the process would: the journal first. */
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -26,9 +26,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -990,6 +992,59 @@
         assertEquals(1, calls().size() + journalled().size(), "delivered, or left to the next life");
     }
 
+    /** The answer lies in the socket when the closing time is over: it counted as one that may have run. */
+    @Test
+    void anAnswerThatHasComeGoesBeforeTheEndOfTheClosingTime() throws Exception {
+        long closingMs = 4000;
+        script(Stub.silent());
+        start(closingMs);
+        Socket kept = client();
+        assertEquals("HTTP/1.1 202 Accepted", ask(kept, message("one", "once", "hello")).line());
+        Stub.await("the call", () -> calls().size() == 1);
+        Thread drain = new Thread(sender::drain);
+        AtomicLong begun = new AtomicLong();
+        CompletableFuture<Boolean> endedBefore = new CompletableFuture<>();
+        beforeEvent = (event, arguments) -> {
+            if (event.equals("closing")) {
+                begun.set(System.nanoTime());
+            } else if (event.equals("mayStart")) {
+                // The loop is reading: a connection for the second message is up. The first is answered meanwhile.
+                answerAll();
+                while (System.nanoTime() - begun.get() < (closingMs + 100) * 1_000_000) {
+                    Thread.onSpinWait();
+                }
+            } else if (event.equals("attemptEnded") && arguments[1] instanceof Relay.AttemptEnd end
+                    && end.message() == 0 && end.outcome() == Relay.Outcome.DELIVERED) {
+                endedBefore.complete(!join(drain));
+            }
+        };
+        drain.start();
+        Stub.await("it closes", () -> begun.get() > 0);
+        assertEquals("HTTP/1.1 202 Accepted", ask(kept, message("two", "plain", "hello")).line());
+        assertTrue(endedBefore.get(30, TimeUnit.SECONDS), "the answer is read while the process still runs");
+        drain.join();
+    }
+
+    private void answerAll() {
+        try {
+            for (Stub endpoint : endpoints) {
+                endpoint.answerAll("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            }
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** Whether that thread is over, given a moment to be so. */
+    private static boolean join(Thread thread) {
+        try {
+            thread.join(300);
+            return !thread.isAlive();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     private static void awaitLatch(CountDownLatch latch) {
         try {
             assertTrue(latch.await(30, TimeUnit.SECONDS));
