Take nothing on once the process may be gone at any moment

Read off the code: after drain lets the process end, its loop goes on until the JVM is gone. A request that it reads then was journalled and perhaps never answered: its client hands it in at another sender, and the next life here sends it as well.

--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -1025,6 +1025,21 @@
         drain.join();
     }
 
+    /** It was journalled, and the process gone before its answer: sent by this sender's next life and by another. */
+    @Test
+    void nothingIsTakenOnOnceTheProcessMayBeGone() throws Exception {
+        script(Stub.silent());
+        start(1500);
+        Socket kept = client();
+        handIn("one", "order");
+        Stub.await("the call", () -> calls().size() == 1);
+        sender.drain();
+        Stub.Message late = ask(kept, message("late", "plain", "hello"));
+        assertEquals("HTTP/1.1 503 Service Unavailable", late.line());
+        assertEquals("close", late.header("Connection"));
+        assertEquals(List.of("one"), journalled().stream().map(held -> held.id).toList());
+    }
+
     private void answerAll() {
         try {
             for (Stub endpoint : endpoints) {
