Keep a new discovery address that is told before the start

Read off the code: Sender.reconfigure dropped the address if nothing was opened yet, so a sender that gets SIGHUP in that moment asked the old discovery for good. A SIGHUP while the settings were read ended the process, as the JVM's own answer to it does. The address is the sender's state now, and a SIGHUP from the first line on is heeded once the settings are read; before that line it is still the JVM's.

SenderTest.aNewDiscoveryAddressThatIsToldBeforeTheStartIsKept waits in vain without the mend.

--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -73,6 +73,8 @@
     private Notices notices;
     private Intake intake;
     private Ops ops;
+    /** Where the platform's agent is, by the newest settings. */
+    private InetSocketAddress discoveryAddress;
     private InetSocketAddress opsAddress;
     private boolean turnOpen;
     private double clock;
@@ -102,6 +104,7 @@
     /** {@code through} is what the module is told through: tests stand between. */
     Sender(Config config, long takingMs, long closingMs, long warmMs, UnaryOperator<Relay> through) {
         this.config = config;
+        this.discoveryAddress = config.discovery();
         this.warmMs = warmMs;
         this.takingMs = takingMs;
         this.closingMs = closingMs;
@@ -112,9 +115,11 @@
     /** Runs a sender until it is told to end; returns the exit code. */
     public static int serve(Map<String, String> env) {
         try {
+            // The JVM's own answer to SIGHUP is to end. One that comes while the settings are read is heeded after.
+            CompletableFuture<Sender> made = new CompletableFuture<>();
+            Signal.handle(new Signal("HUP"), hangUp -> made.thenAccept(sender -> sender.reconfigure(env)));
             Sender sender = new Sender(Config.read(env), TAKING_MS, CLOSING_MS, WARM_MS, relay -> relay);
-            // The JVM's own answer to SIGHUP is to end.
-            Signal.handle(new Signal("HUP"), hangUp -> sender.reconfigure(env));
+            made.complete(sender);
             // SIGTERM may come at any moment: once the journal is owned, calls and clients are owed their ends.
             Runtime.getRuntime().addShutdownHook(new Thread(sender::drain, "drain"));
             sender.start();
@@ -167,12 +172,12 @@
         int mostIdle = Math.max(1, sockets / 2 - slots);
         endpoints = new Endpoints(loop, config.dialMs(), config.settings().keepAliveMs(),
                 config.settings().senders(), mostIdle, new Ends());
-        notices = new Notices(loop, new Agent(loop, config.discovery()), this::heard);
+        notices = new Notices(loop, new Agent(loop, discoveryAddress), this::heard);
         intake = new Intake(loop, sockets / 2, new Clients());
         ops = new Ops(loop, new Orders());
         handover = new Handover(loop, new Estate());
         takeover = new Takeover(loop, config.state(), config.handover(), new Heir());
-        discovery = new Discovery(loop, new Agent(loop, config.discovery()), new Random(config.seed()),
+        discovery = new Discovery(loop, new Agent(loop, discoveryAddress), new Random(config.seed()),
                 this::listed);
         discovery.start(config.known());
     }
@@ -250,6 +255,7 @@
             InetSocketAddress to = Config.discovery(env);
             Log.line("discovery is at " + Endpoints.hostPort(to) + " now");
             loop.execute(() -> {
+                discoveryAddress = to;
                 if (discovery != null) {
                     discovery.moved(to);
                     notices.moved(to);
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -1040,6 +1040,21 @@
         assertEquals(List.of("one"), journalled().stream().map(held -> held.id).toList());
     }
 
+    /** The settings were replaced while they were read, or before anything was begun: the old address stood for good. */
+    @Test
+    void aNewDiscoveryAddressThatIsToldBeforeTheStartIsKept() throws Exception {
+        sender = new Sender(config(), Sender.TAKING_MS, Sender.CLOSING_MS);
+        try (Stub old = agent) {
+            agent = new Stub(this::agent);
+            config();
+            sender.reconfigure(Map.of("GW_CONFIG", folder.resolve("config.json").toString()));
+            address = sender.start();
+            Stub.await("the new one is watched", () -> agent.requests.stream()
+                    .anyMatch(r -> r.line().contains("after=")));
+            assertEquals(List.of(), old.requests);
+        }
+    }
+
     private void answerAll() {
         try {
             for (Stub endpoint : endpoints) {
