--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -261,7 +261,7 @@
     public OptionalDouble turnsAway(double now, Message message) {
         tick(now);
         Delivery d = new Delivery(message, clock);
-        if (!d.destination.hasNoTimeFor(d)) {
+        if (clock < d.deadline - ANSWER_MARGIN_MS && !d.destination.hasNoTimeFor(d)) {
             return OptionalDouble.empty();
         }
         d.destination.demand.count();
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -751,6 +751,14 @@
         b.allAnswered();
     }
 
+    /** What was taken with no time left was answered at once all the same, as if it had been wanted. */
+    @Test
+    void whatHasNoTimeToBeSentIsNotTaken() {
+        Bench b = new Bench().list(1, 10);
+        assertTrue(b.relay.turnsAway(b.now, new Relay.Message(1, SAFE, 0, Optional.of("k"), 1, 1)).isPresent());
+        assertFalse(b.relay.turnsAway(b.now, new Relay.Message(1, SAFE, 0, Optional.of("k"), 9, 1)).isPresent());
+    }
+
     /** Seen on herd+mass: of what a kill left untried a third had no call, as each waited for an even share's pace. */
     @Test
     void whatAnEarlierLifeNeverCalledForIsCalledForInTimeAheadOfThePaceAndNotAllAtOnce() {
