Close the endpoint's side in a race test by the thread that reads it

EndpointsTest.aCallThatCrossesTheEndpointsClose... failed in one of three runs of all tests (2 requests read for 1). The close came from another thread while the peer's own stood in a read, which may still get bytes that come after it. Now the peer closes it itself, when it has seen that the connection is chosen. The same is asserted.

--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -432,13 +433,21 @@
     /** The close lies in the socket, unread, when the next call chooses the connection and is written whole. */
     @Test
     void aCallThatCrossesTheEndpointsCloseMayHaveRunAndItsConnectionCountsOnce() throws Exception {
-        Endpoints.Call first = out(LONG_MS);
-        answer(sides.get(0));
-        assertEquals(Outcome.DELIVERED, end().outcome());
+        CountDownLatch chosen = new CountDownLatch(1);
+        CountDownLatch closed = new CountDownLatch(1);
+        // Closed by the thread that reads it: one that stood in a read might still get the request.
+        expect(Outcome.DELIVERED, (request, socket) -> {
+            answer(socket);
+            chosen.await();
+            socket.close();
+            closed.countDown();
+        });
         awaitKept();
+        Held held = new Held(2, "id-2", "order", "t", Optional.empty(), Optional.empty(), 7, 0, new byte[1]);
         loop.submit(() -> {
-            sides.get(0).close();
-            endpoints.call(first.held, 1, 1, LONG_MS);
+            chosen.countDown();
+            closed.await();
+            endpoints.call(held, 0, 1, LONG_MS);
             endpoints.flush();
             return null;
         }).sync();
