--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -37,6 +37,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import kestreldeal.Relay.Outcome;
 
 /**
@@ -57,6 +58,9 @@
         /** Whether a call that waited for its connection may still go out. */
         boolean mayStart(Call call);
 
+        /** Its first byte is about to be written: whether it may be. */
+        boolean begins(Call call);
+
         /**
          * Told of the end of each call. {@code gone}: the message is over, whatever else is true; {@code open}:
          * its exchange is still out for other calls.
@@ -365,20 +369,22 @@
             } else {
                 Connection fresh = f.channel().pipeline().get(Connection.class);
                 fresh.peer = peer;
-                for (Call call : calls) {
-                    if (!ends.mayStart(call)) {
-                        call.leave(Outcome.NOT_SENT);
-                    }
-                }
-                if (nobodyWaits()) {
-                    fresh.rest();
-                } else {
-                    write(fresh);
-                }
+                leaveUnless(ends::mayStart);
+                write(fresh);
             }
         }
 
+        private void leaveUnless(Predicate<Call> goesOn) {
+            calls.stream().filter(call -> !call.left && !goesOn.test(call))
+                    .forEach(call -> call.leave(Outcome.NOT_SENT));
+        }
+
         private void write(Connection on) {
+            leaveUnless(ends::begins);
+            if (nobodyWaits()) {
+                on.rest();
+                return;
+            }
             connection = on;
             on.exchange = this;
             on.channel.writeAndFlush(calls.size() == 1 ? single(calls.get(0)) : several()).addListener(f -> {
--- a/src/main/java/kestreldeal/net/Held.java
+++ b/src/main/java/kestreldeal/net/Held.java
@@ -22,6 +22,8 @@
     final long deadlineMs;
     final byte[] body;
     final List<Attempt> attempts = new ArrayList<>();
+    /** So many of them, from the first, are in the journal. */
+    int recorded;
     Optional<Notice> owed = Optional.empty();
     /** Bytes of its records in the journal. */
     long bytes;
@@ -30,13 +32,14 @@
     /** Nothing may be sent for it any more: delivered, over, or ended by a notice. */
     boolean over;
 
-    /** An attempt; it may have run unless its end proved otherwise, whatever became of this process. */
+    /**
+     * An attempt; from its first byte on it may have run, whatever becomes of this process, unless its end proves
+     * otherwise.
+     */
     static final class Attempt {
         final String endpoint;
         final long sentAtMs;
-        boolean neverRan;
-        /** The journal has it: one that it could not take was never made, and has no place there. */
-        boolean journalled;
+        boolean neverRan = true;
 
         Attempt(String endpoint, long sentAtMs) {
             this.endpoint = endpoint;
--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -38,6 +38,9 @@
     private static final int ENDED = 5;
     private static final int DRAINED = 6;
     private static final int MAINTAINED = 7;
+    /** An attempt that never ran, unless it has begun since. */
+    private static final int UNBEGUN = 8;
+    private static final int BEGUN = 9;
     /** Length and checksum. */
     private static final int HEAD = 12;
     /** Longest record that is believed: a longer one is a torn or foreign length. */
@@ -98,18 +101,34 @@
         live.put(held.number, held);
     }
 
-    /** An attempt is about to be made; it counts as one that may have run from here on. */
-    void attempt(Held held, Held.Attempt attempt) throws IOException {
-        append(held, record(attemptRecord(held, attempt)));
-        attempt.journalled = true;
-        held.attempts.add(attempt);
+    /** The attempt's first byte is about to be written: it counts as one that may have run from here on. */
+    void begins(Held held, int attempt) throws IOException {
+        Held.Attempt begun = held.attempts.get(attempt);
+        if (attempt < held.recorded) {
+            append(held, record(markRecord(BEGUN, held, attempt)));
+        } else {
+            record(held, attempt);
+            append(held, record(attemptRecord(ATTEMPT, held, begun)));
+            held.recorded++;
+        }
+        begun.neverRan = false;
     }
 
-    /** An end proved that the attempt never ran; if this is lost, it counts as one that may have. */
+    /** It ended before it began, or its end proved that it never ran; if this is lost, a begun one may have. */
     void neverRan(Held held, int attempt) throws IOException {
-        held.attempts.get(attempt).neverRan = true;
-        if (held.attempts.get(attempt).journalled) {
-            append(held, record(neverRanRecord(held, attempt)));
+        if (attempt >= held.recorded) {
+            record(held, attempt + 1);
+        } else if (!held.attempts.get(attempt).neverRan) {
+            held.attempts.get(attempt).neverRan = true;
+            append(held, record(markRecord(NEVER_RAN, held, attempt)));
+        }
+    }
+
+    /** Records so many attempts, those that were not as not begun: later records know them by their places. */
+    private void record(Held held, int attempts) throws IOException {
+        while (held.recorded < attempts) {
+            append(held, record(attemptRecord(UNBEGUN, held, held.attempts.get(held.recorded))));
+            held.recorded++;
         }
     }
 
@@ -273,21 +292,20 @@
         };
     }
 
-    private static Body attemptRecord(Held held, Held.Attempt attempt) {
+    private static Body attemptRecord(int type, Held held, Held.Attempt attempt) {
         return out -> {
-            out.writeByte(ATTEMPT);
+            out.writeByte(type);
             out.writeLong(held.number);
             out.writeUTF(attempt.endpoint);
             out.writeLong(attempt.sentAtMs);
         };
     }
 
-    private static Body neverRanRecord(Held held, int attempt) {
+    private static Body markRecord(int type, Held held, int attempt) {
         return out -> {
-            out.writeByte(NEVER_RAN);
+            out.writeByte(type);
             out.writeLong(held.number);
-            // By its place among those that the file has: the next life counts no others.
-            out.writeInt((int) held.attempts.subList(0, attempt).stream().filter(a -> a.journalled).count());
+            out.writeInt(attempt);
         };
     }
 
@@ -336,14 +354,8 @@
         bytes.write(orders());
         for (Held held : live.values()) {
             bytes.write(record(takenRecord(held)));
-            for (int i = 0; i < held.attempts.size(); i++) {
-                if (!held.attempts.get(i).journalled) {
-                    continue;
-                }
-                bytes.write(record(attemptRecord(held, held.attempts.get(i))));
-                if (held.attempts.get(i).neverRan) {
-                    bytes.write(record(neverRanRecord(held, i)));
-                }
+            for (Held.Attempt attempt : held.attempts.subList(0, held.recorded)) {
+                bytes.write(record(attemptRecord(attempt.neverRan ? UNBEGUN : ATTEMPT, held, attempt)));
             }
             if (held.owed.isPresent()) {
                 bytes.write(record(owedRecord(held, held.owed.get())));
@@ -419,12 +431,13 @@
             return;
         }
         switch (type) {
-            case ATTEMPT -> {
+            case ATTEMPT, UNBEGUN -> {
                 Held.Attempt attempt = new Held.Attempt(in.readUTF(), in.readLong());
-                attempt.journalled = true;
+                attempt.neverRan = type == UNBEGUN;
                 held.attempts.add(attempt);
+                held.recorded++;
             }
-            case NEVER_RAN -> held.attempts.get(in.readInt()).neverRan = true;
+            case BEGUN, NEVER_RAN -> held.attempts.get(in.readInt()).neverRan = type == NEVER_RAN;
             case OWED -> {
                 held.owed = Optional.of(new Held.Notice(in.readBoolean(), in.readDouble()));
                 held.over = true;
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -357,8 +357,8 @@
         } catch (RuntimeException e) {
             fault(e);
         } finally {
-            endpoints.flush();
             turnOpen = false;
+            event(endpoints::flush);
         }
     }
 
@@ -381,17 +381,7 @@
     public void send(long message, long endpoint, double timeoutMs) {
         Held held = open.get(message);
         int number = held.attempts.size();
-        Held.Attempt attempt = new Held.Attempt(endpointIds.get(endpoint), System.currentTimeMillis());
-        try {
-            journal.attempt(held, attempt);
-        } catch (IOException e) {
-            // Unrecorded it could run twice: it is not made.
-            Log.line("no attempt without the journal: " + e.getMessage());
-            held.attempts.add(attempt);
-            loop.execute(() -> attemptEnded(held, number, Relay.Outcome.NOT_SENT, false, 0, 0, false));
-            return;
-        }
-        untried.called(message);
+        held.attempts.add(new Held.Attempt(endpointIds.get(endpoint), System.currentTimeMillis()));
         calls.put(new Out(message, number), endpoints.call(held, number, endpoint, timeoutMs));
     }
 
@@ -453,6 +443,20 @@
             return relay.mayStart(openTurn(), call.held.number, call.attempt);
         }
 
+        /** Not before: an attempt whose connection was still coming up at a kill has surely not run. */
+        @Override
+        public boolean begins(Endpoints.Call call) {
+            try {
+                journal.begins(call.held, call.attempt);
+                untried.called(call.held.number);
+                return true;
+            } catch (IOException e) {
+                // Unrecorded it could run twice: it is not made.
+                Log.line("no attempt without the journal: " + e.getMessage());
+                return false;
+            }
+        }
+
         @Override
         public void ended(Endpoints.Call call, Relay.Outcome outcome, boolean gone, double waitMs, boolean open) {
             calls.remove(new Out(call.held.number, call.attempt));
--- a/src/main/java/kestreldeal/net/Warmup.java
+++ b/src/main/java/kestreldeal/net/Warmup.java
@@ -174,7 +174,8 @@
                         Held held = new Held(journal.nextNumber(), "id" + i, "class", "", Optional.of("key"),
                                 Optional.of("thread"), 1, 1, BODY);
                         journal.taken(held);
-                        journal.attempt(held, new Held.Attempt("endpoint", 1));
+                        held.attempts.add(new Held.Attempt("endpoint", 1));
+                        journal.begins(held, 0);
                         if (i % 10 > 0) {
                             journal.ended(held);
                         } else {
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -49,6 +49,7 @@
     private volatile Runnable beforeStart = () -> { };
     private final BlockingQueue<String> closed = new LinkedBlockingQueue<>();
     private volatile int written;
+    private volatile boolean full;
     private final BlockingQueue<String> waits = new LinkedBlockingQueue<>();
     /** Where a test moves the clock of idle connections itself. */
     private final AtomicLong nanos = new AtomicLong();
@@ -72,6 +73,11 @@
             return !barred.contains(call.held.id);
         }
 
+        @Override
+        public boolean begins(Endpoints.Call call) {
+            return !full;
+        }
+
         @Override
         public void ended(Endpoints.Call call, Outcome outcome, boolean gone, double waitMs,
                 boolean open) {
@@ -153,6 +159,19 @@
         assertEquals(3, stub.requests.size(), "each was sent once");
     }
 
+    /** The journal can't take it, so it must not go out, over a new connection or a kept one. */
+    @Test
+    void whatMayNotBeginIsNotSentAndItsConnectionIsKept() throws Exception {
+        full = true;
+        expect(Outcome.NOT_SENT, Stub.status(200, ""));
+        expect(Outcome.NOT_SENT, Stub.status(200, ""));
+        full = false;
+        awaitKept();
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+        assertEquals(1, stub.requests.size());
+        assertEquals(0, stub.requests.get(0).connection());
+    }
+
     @Test
     void aRefusedConnectionIsUnreachable() throws Exception {
         ServerSocket unused = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
--- a/src/test/java/kestreldeal/net/JournalTest.java
+++ b/src/test/java/kestreldeal/net/JournalTest.java
@@ -35,6 +35,12 @@
                 Optional.of("thread"), 7, 12_345, new byte[body]);
     }
 
+    /** An attempt is made, with no connection to wait for. */
+    static void attempt(Journal journal, Held held, Held.Attempt attempt) throws IOException {
+        held.attempts.add(attempt);
+        journal.begins(held, held.attempts.size() - 1);
+    }
+
     @Test
     void whatWasHeldComesBackWithAllThatHappenedToIt() throws Exception {
         try (Journal journal = open()) {
@@ -44,8 +50,8 @@
             for (Held h : List.of(a, b, c)) {
                 journal.taken(h);
             }
-            journal.attempt(a, new Held.Attempt("s-1", 100));
-            journal.attempt(a, new Held.Attempt("s-2", 200));
+            attempt(journal, a, new Held.Attempt("s-1", 100));
+            attempt(journal, a, new Held.Attempt("s-2", 200));
             journal.neverRan(a, 0);
             journal.owed(b, new Held.Notice(true, 500));
             journal.ended(c);
@@ -67,24 +73,32 @@
         }
     }
 
-    /** One that a full journal could not take was marked by its number, which a later one has in the file. */
+    /** One that has not begun was marked by its number, which a later one had in the file. */
     @Test
-    void anAttemptThatWasNeverJournalledShiftsNoOther() throws Exception {
+    void anAttemptThatHasNotBegunKeepsItsPlaceAndHasNotRun() throws Exception {
         try (Journal journal = open()) {
             Held held = held(journal, 3);
             journal.taken(held);
             held.attempts.add(new Held.Attempt("s-0", 100));
-            journal.attempt(held, new Held.Attempt("s-1", 200));
+            attempt(journal, held, new Held.Attempt("s-1", 200));
             journal.neverRan(held, 0);
-            journal.attempt(held, new Held.Attempt("s-2", 300));
+            attempt(journal, held, new Held.Attempt("s-2", 300));
             journal.neverRan(held, 2);
-            assertEquals(List.of(true, false, true), held.attempts.stream().map(a -> a.neverRan).toList());
+            held.attempts.add(new Held.Attempt("s-3", 400));
+            attempt(journal, held, new Held.Attempt("s-4", 500));
+            journal.begins(held, 3);
+            journal.neverRan(held, 4);
+            held.attempts.add(new Held.Attempt("s-5", 600));
+            journal.neverRan(held, 5);
+            held.attempts.add(new Held.Attempt("s-6", 700));
         }
         for (int life = 0; life < 2; life++) {
             try (Journal journal = open()) {
                 Held held = journal.held().iterator().next();
-                assertEquals(List.of("s-1", "s-2"), held.attempts.stream().map(a -> a.endpoint).toList());
-                assertEquals(List.of(false, true), held.attempts.stream().map(a -> a.neverRan).toList(),
+                assertEquals(List.of("s-0", "s-1", "s-2", "s-3", "s-4", "s-5"),
+                        held.attempts.stream().map(a -> a.endpoint).toList());
+                assertEquals(List.of(true, false, true, false, true, true),
+                        held.attempts.stream().map(a -> a.neverRan).toList(),
                         "what may have run must not be taken for what never did");
                 // Over the bound of the file, so that it is compacted meanwhile.
                 for (int i = 0; i < 60; i++) {
@@ -175,7 +189,7 @@
                 try {
                     journal.taken(h);
                     live.add(h);
-                    journal.attempt(h, new Held.Attempt("s-" + i, i));
+                    attempt(journal, h, new Held.Attempt("s-" + i, i));
                     journal.neverRan(h, 0);
                 } catch (IOException full) {
                     refused++;
@@ -211,7 +225,7 @@
             });
             for (Held h : taken) {
                 for (int i = 0; i < 12; i++) {
-                    journal.attempt(h, new Held.Attempt("s-5be2a07c5be2a07c", i));
+                    attempt(journal, h, new Held.Attempt("s-5be2a07c5be2a07c", i));
                     journal.neverRan(h, i);
                 }
                 journal.owed(h, new Held.Notice(true, 1));
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -56,6 +56,7 @@
     private boolean known = true;
     private volatile BiConsumer<String, Object[]> beforeEvent = (event, arguments) -> { };
     private int fleet = 1;
+    private final CountDownLatch killed = new CountDownLatch(1);
     /** Endpoints of other destinations, numbered on from the two. */
     private volatile int others;
     private String listen = "127.0.0.1:0";
@@ -226,7 +227,7 @@
                     Optional.empty(), 7, wall + leftMs, "hello".getBytes(StandardCharsets.ISO_8859_1));
             journal.taken(held);
             if (attemptAgoMs > 0) {
-                journal.attempt(held, new Held.Attempt("s-0", wall - attemptAgoMs));
+                JournalTest.attempt(journal, held, new Held.Attempt("s-0", wall - attemptAgoMs));
             }
             if (notice) {
                 journal.owed(held, new Held.Notice(true, 700));
@@ -625,6 +626,35 @@
         assertEquals(1, calls().size());
     }
 
+    /** Killed while the connection for its one try was still coming up: it counted as one that may have run. */
+    @Test
+    void anUnsafeMessageWhoseCallNeverBeganIsSentInTheNextLife() throws Exception {
+        CountDownLatch asked = new CountDownLatch(1);
+        beforeEvent = (event, arguments) -> {
+            if (event.equals("mayStart")) {
+                // Its connection is up, and nothing is written: the process is as good as gone from here on.
+                asked.countDown();
+                awaitLatch(killed);
+            }
+        };
+        start();
+        handIn("one", "once");
+        awaitLatch(asked);
+        Path state = folder.resolve("state");
+        Files.copy(state.resolve("journal"), folder.resolve("journal"));
+        script(Stub.silent());
+        killed.countDown();
+        Stub.await("it may have run now", () -> calls().size() == 1);
+        sender.kill();
+        Files.copy(folder.resolve("journal"), state.resolve("journal"), StandardCopyOption.REPLACE_EXISTING);
+        script(Stub.status(200, ""));
+        beforeEvent = (event, arguments) -> { };
+        start();
+        awaitNothingHeld();
+        assertEquals(List.of(), notices);
+        assertEquals(2, calls().size());
+    }
+
     @Test
     void anUnsafeMessageWhoseAttemptNeverRanIsSentAgain() throws Exception {
         script(Stub.status(503, ""));
@@ -654,7 +684,7 @@
                 untried(journal, id, "plain", 7, Optional.empty());
             }
             List<Held> held = List.copyOf(journal.held());
-            journal.attempt(held.get(2), new Held.Attempt("s-0", System.currentTimeMillis()));
+            JournalTest.attempt(journal, held.get(2), new Held.Attempt("s-0", System.currentTimeMillis()));
         }
         beforeEvent = (event, arguments) -> {
             if (event.equals("resumed") && ((Relay.Message) arguments[1]).id() == 1) {
@@ -685,12 +715,12 @@
             for (int i = 0; i < 5; i++) {
                 Held refused = untried(journal, "refused-" + i, "plain", 2, Optional.empty());
                 for (int attempt = 0; attempt < 2; attempt++) {
-                    journal.attempt(refused, new Held.Attempt("s-2", System.currentTimeMillis() - 3000));
+                    JournalTest.attempt(journal, refused, new Held.Attempt("s-2", System.currentTimeMillis() - 3000));
                     journal.neverRan(refused, attempt);
                 }
             }
             Held waits = untried(journal, "refused-later", "once", 4, Optional.of("alone"));
-            journal.attempt(waits, new Held.Attempt("s-4", System.currentTimeMillis() - 3000));
+            JournalTest.attempt(journal, waits, new Held.Attempt("s-4", System.currentTimeMillis() - 3000));
             journal.neverRan(waits, 0);
             for (int i = 0; i < 3; i++) {
                 for (int destination : List.of(7, 2, 3, 4)) {
