Read nothing more from clients once the process may be gone

What is read after drain has let the process end may go unanswered, which loses it, and refusing it then still reads it. A request that was not read is sent once more by its client (protocol), so the connections are not read any more instead.

--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -107,7 +107,7 @@
     private final Set<Channel> idle = new LinkedHashSet<>();
     private final ServerBootstrap bootstrap;
     private Listener listener;
-    private int clients;
+    private final Set<Channel> clients = new LinkedHashSet<>();
     private boolean closing;
     private boolean draining;
     private boolean left;
@@ -183,6 +183,14 @@
         listener.close();
     }
 
+    /**
+     * The process may be gone at any moment: a request that was read could go unanswered, one that was not read is
+     * sent once more by its client.
+     */
+    void readNoMore() {
+        clients.forEach(client -> client.config().setAutoRead(false));
+    }
+
     /**
      * Sends clients away, or takes them again. Each answer then ends its connection; those between requests
      * are closed only after a time, since new ones come until the front has heard.
@@ -214,7 +222,7 @@
 
     /** Connections that clients have open. */
     int clients() {
-        return clients;
+        return clients.size();
     }
 
     /** A connection with part of a request is not between requests. */
@@ -250,7 +258,8 @@
         public void channelActive(ChannelHandlerContext ctx) {
             // The sockets are limited: the longest idle client makes room, which it may be asked to.
             idle.add(ctx.channel());
-            if (++clients > mostClients) {
+            clients.add(ctx.channel());
+            if (clients.size() > mostClients) {
                 Iterator<Channel> longest = idle.iterator();
                 Channel victim = longest.next();
                 // Its end is told only after this burst of connections, each of which needs another victim.
@@ -261,7 +270,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            clients--;
+            clients.remove(ctx.channel());
             idle.remove(ctx.channel());
         }
 
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -79,8 +79,6 @@
     private boolean turnOpen;
     private double clock;
     private boolean closing;
-    /** The process may be gone at any moment: what it took now it might not answer. */
-    private boolean ending;
     private Handover handover;
     private Takeover takeover;
     private final Inherited inherited = new Inherited();
@@ -642,7 +640,7 @@
             // Such a message could only run out of time; the list may be late, so it may be handed in again.
             return Intake.Verdict.refused("no endpoint of this dest is listed");
         }
-        if (!ready || ending || open.size() >= config.maxOpen()) {
+        if (!ready || open.size() >= config.maxOpen()) {
             return Intake.Verdict.refused("no room");
         }
         Held held = new Held(journal.nextNumber(), s.id(), s.messageClass(), s.tenant(), s.key(), s.thread(),
@@ -1011,7 +1009,7 @@
     }
 
     private void ended() {
-        ending = true;
+        intake.readNoMore();
         Log.line(config.name() + " ends; its journal holds " + open.size() + " messages and "
                 + notices.owed() + " notices");
         untried.close();
