Say at the start if SIGHUP is ignored by what started the process

A process that inherits SIGHUP as ignored keeps it so, and the JVM then installs no handler, without a word.

It can't be undone from within the JVM, so the log tells it. SenderTest.aHangUpThatIsIgnoredFromOutsideIsToldAtTheStart.

--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -31,6 +31,7 @@
 import kestreldeal.Relay;
 import kestreldeal.net.Inherited.Out;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /**
  * One real sender: the event loop, the clock, and the names that the module knows by numbers. The loop's
@@ -115,7 +116,12 @@
         try {
             // The JVM's own answer to SIGHUP is to end. One that comes while the settings are read is heeded after.
             CompletableFuture<Sender> made = new CompletableFuture<>();
-            Signal.handle(new Signal("HUP"), hangUp -> made.thenAccept(sender -> sender.reconfigure(env)));
+            SignalHandler before = Signal.handle(new Signal("HUP"),
+                    hangUp -> made.thenAccept(sender -> sender.reconfigure(env)));
+            if (before == SignalHandler.SIG_IGN) {
+                // Inherited, and the JVM leaves it so.
+                Log.line("what started this has SIGHUP ignored: no new configuration will be heeded");
+            }
             Sender sender = new Sender(Config.read(env), TAKING_MS, CLOSING_MS, WARM_MS, relay -> relay);
             made.complete(sender);
             // SIGTERM may come at any moment: once the journal is owned, calls and clients are owed their ends.
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -61,6 +61,7 @@
     private volatile int others;
     private String listen = "127.0.0.1:0";
     private Sender sender;
+    private Path processLog;
     private InetSocketAddress address;
 
     @BeforeEach
@@ -1159,16 +1160,28 @@
         process.destroyForcibly().waitFor();
     }
 
+    /** Seen on roll+mass, started with nohup: every sender asked the old discovery for good, with no word of it. */
+    @Test
+    void aHangUpThatIsIgnoredFromOutsideIsToldAtTheStart() throws Exception {
+        config();
+        Process process = process("sh", "-c", "trap '' HUP; exec \"$@\"", "sh");
+        assertTrue(Files.readString(processLog).contains("SIGHUP ignored"));
+        process.destroyForcibly().waitFor();
+    }
+
     private static void hangUp(Process process) throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
     }
 
-    private Process process() throws Exception {
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
-                "-cp", System.getProperty("java.class.path"), "kestreldeal.Main", "serve");
+    private Process process(String... through) throws Exception {
+        List<String> command = new ArrayList<>(List.of(through));
+        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin/java").toString(),
+                "-cp", System.getProperty("java.class.path"), "kestreldeal.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().putAll(Map.of("GW_CONFIG", folder.resolve("config.json").toString(),
                 "GW_STATE", folder.resolve("state").toString()));
         Path log = Files.createTempFile(folder, "log", "");
+        processLog = log;
         Process process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
         String ready = " listens at 127.0.0.1:";
         Stub.await("the process is ready", () -> {
