--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -998,6 +998,37 @@
         assertFalse(drain.isAlive());
     }
 
+    /** Told to end while the journal is replayed: what is untried then is called for, or left to the next life. */
+    @Test
+    void anEndThatIsToldInTheReplayCostsNothingUntried() throws Exception {
+        try (Journal journal = new Journal(folder.resolve("state"), 3_000_000, 12)) {
+            for (String id : List.of("first", "second", "third")) {
+                untried(journal, id, "once", 7, Optional.of("thread"));
+            }
+        }
+        Thread drain = new Thread(() -> sender.drain());
+        beforeEvent = (event, arguments) -> {
+            if (event.equals("resumed") && drain.getState() == Thread.State.NEW) {
+                drain.start();
+                // It waits for the loop, which stands here: its task comes in the middle of the replay.
+                awaitState(drain, Thread.State.WAITING);
+            }
+        };
+        start();
+        drain.join(20_000);
+        assertFalse(drain.isAlive());
+        assertEquals(List.of(), notices);
+        assertEquals(3, calls().size() + journalled().stream().filter(held -> held.attempts.isEmpty()).count());
+    }
+
+    private static void awaitState(Thread thread, Thread.State state) {
+        try {
+            Stub.await("the thread is " + state, () -> thread.getState() == state);
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     /** A connection that the kernel has taken, with its request, when the sender is told to end. */
     @Test
     void aRequestInTheAcceptQueueAtTheEndIsAnswered() throws Exception {
