Reproduce the incident: messages sent on after an answer has accepted them (red)

With the program as a process of its own, two endpoints, and a fault proxy that holds an answer back until one of the two messages of its call has timed out.

--- /dev/null
+++ b/src/test/java/kestreldeal/net/EndedMessageProcessTest.java
@@ -0,0 +1,72 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * The incident of messages sent on after their end: an answer that tells the end of messages comes through a fault
+ * proxy, late, when one of the messages of its call is not waited for any more.
+ */
+class EndedMessageProcessTest extends SenderProcessFixture {
+    private final List<FaultProxy> proxies = new ArrayList<>();
+
+    @Override
+    String listed(Stub endpoint) throws IOException {
+        FaultProxy proxy = new FaultProxy(endpoint.address());
+        proxies.add(proxy);
+        return proxy.hostPort();
+    }
+
+    @AfterEach
+    void closeProxies() throws IOException {
+        for (FaultProxy proxy : proxies) {
+            proxy.close();
+        }
+    }
+
+    /**
+     * Two messages travel in one call, which its endpoint accepts at once. The answer is held back until one of them,
+     * whose attempt has timed out, is not waited for any more.
+     */
+    private void oneLeavesBeforeTheAnswerForBoth(String effectOfTheOther) throws Exception {
+        sender.start();
+        proxies.forEach(FaultProxy::holdAnswers);
+        handIn("opener", "unsafe");
+        Stub.await("the only slot is taken", () -> callsWith("opener") == 1);
+        handIn("leaving", "hasty");
+        handIn("waiting", effectOfTheOther);
+        script((call, socket) -> {
+            proxies.forEach(FaultProxy::holdAnswers);
+            accept(call, socket);
+        });
+        proxies.forEach(FaultProxy::releaseAnswers);
+        Stub.await("both travel in one call", () -> calls().stream()
+                .anyMatch(call -> ids(call).equals(List.of("leaving", "waiting"))));
+        sender.awaitEvent("attempt-ended", "id=leaving", "cause=TIMED_OUT", "messages=2", "left=1");
+        script(SenderProcessFixture::accept);
+        proxies.forEach(FaultProxy::releaseAnswers);
+        awaitAllEnded();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"safe", "keyed", "unsafe"})
+    void whatAnAnswerAcceptsIsOverThoughAnotherMessageHasLeftItsCall(String effect) throws Exception {
+        oneLeavesBeforeTheAnswerForBoth(effect);
+        assertEquals(1, callsWith("waiting"), "sent on after its end");
+        assertEquals(List.of(), notices, "its end was told already");
+    }
+
+    @Test
+    void whatAnAnswerAcceptsIsOverThoughItHasLeftItsCallItself() throws Exception {
+        oneLeavesBeforeTheAnswerForBoth("safe");
+        assertEquals(1, callsWith("leaving"), "sent on after its end");
+        assertEquals(List.of(), notices, "its end was told already");
+    }
+}
--- /dev/null
+++ b/src/test/java/kestreldeal/net/FaultProxy.java
@@ -0,0 +1,128 @@
+package kestreldeal.net;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * A TCP proxy on the loopback between a sender and one server. It passes bytes on in pieces of a chosen length, holds
+ * back what the server answers until told otherwise, and resets all connections on demand.
+ */
+final class FaultProxy implements AutoCloseable {
+    private static final int WHOLE = 64 * 1024;
+
+    private final InetSocketAddress server;
+    private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private final Object gate = new Object();
+    private boolean held;
+    private volatile int pieceLength = WHOLE;
+
+    FaultProxy(InetSocketAddress server) throws IOException {
+        this.server = server;
+        daemon(this::accept);
+    }
+
+    String hostPort() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    /** From now on nothing of what the server answers reaches the sender. */
+    void holdAnswers() {
+        synchronized (gate) {
+            held = true;
+        }
+    }
+
+    /** What was held back goes on, in its order. */
+    void releaseAnswers() {
+        synchronized (gate) {
+            held = false;
+            gate.notifyAll();
+        }
+    }
+
+    /** Answers go on in pieces of so many bytes, each in a segment of its own. */
+    void answerInPieces(int length) {
+        pieceLength = length;
+    }
+
+    /** Resets every connection on both sides; what was held back on it is lost. */
+    void resetAll() throws IOException {
+        List<Socket> all = new ArrayList<>(sockets);
+        for (Socket socket : all) {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+    }
+
+    private static void daemon(Runnable task) {
+        Thread thread = new Thread(task);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket sender = listener.accept();
+                Socket behind = new Socket(server.getAddress(), server.getPort());
+                for (Socket socket : List.of(sender, behind)) {
+                    socket.setTcpNoDelay(true);
+                    sockets.add(socket);
+                }
+                daemon(() -> pass(sender, behind, false));
+                daemon(() -> pass(behind, sender, true));
+            }
+        } catch (IOException closed) {
+            // The test is over.
+        }
+    }
+
+    private void pass(Socket from, Socket to, boolean answers) {
+        try (from; to) {
+            InputStream in = from.getInputStream();
+            OutputStream out = to.getOutputStream();
+            byte[] buffer = new byte[WHOLE];
+            for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
+                int piece = answers ? pieceLength : WHOLE;
+                for (int at = 0; at < n; at += piece) {
+                    if (answers) {
+                        awaitRelease();
+                    }
+                    out.write(buffer, at, Math.min(piece, n - at));
+                }
+            }
+        } catch (IOException | InterruptedException ended) {
+            // Either side went away; the other one is closed with it.
+        } finally {
+            sockets.remove(from);
+            sockets.remove(to);
+        }
+    }
+
+    private void awaitRelease() throws InterruptedException {
+        synchronized (gate) {
+            while (held) {
+                gate.wait();
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        releaseAnswers();
+        for (Socket socket : new ArrayList<>(sockets)) {
+            socket.close();
+        }
+    }
+}
