Keep every message end that an answer tells, whoever has left its call

Cause: what a whole answer says of a message was tied to whether somebody still waited. So messages that had been accepted went out again, or, if they may run only once, ended as failed. Ruled out: a second copy on its way (cancelled, and asked about again before it begins), the disk and the clock (the same process, monotonic time), a second hand-in (one is recorded).

Change: a call takes the word for its message from a whole answer whether or not it was left; an end after the attempt's end is told as overAfterEnd, also over a handover, and ends the message like any other. An end that is read holds from that moment: nothing is written for the message, though the module hears of it only with the loop's next task.

--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -102,7 +102,10 @@
      */
     void remember(double now, double takenAt, Memory memory);
 
-    /** Nobody waits for this message any more; no answer is owed. */
+    /**
+     * Nobody waits for this message any more; no answer is owed. Its client has left, or an answer that came after the
+     * end of its attempt tells that it is over.
+     */
     void withdrawn(double now, long message);
 
     /** A wake asked for by {@link Actions#wakeAt} has come; early and stale ones do no harm. */
--- a/src/main/java/kestreldeal/net/AttemptOutcomes.java
+++ b/src/main/java/kestreldeal/net/AttemptOutcomes.java
@@ -57,6 +57,11 @@
         private static Result of(Outcome outcome) {
             return new Result(outcome, false);
         }
+
+        /** Whether its message must not be sent again, whatever becomes of its other attempts. */
+        boolean endsMessage() {
+            return over || outcome == Outcome.DELIVERED;
+        }
     }
 
     private static final int OK = 200;
@@ -94,7 +99,7 @@
      */
     static Result answered(int status, boolean proven, Refusal refusal, int messages) {
         if (status == OK && messages == 1) {
-            return Result.of(Outcome.DELIVERED);
+            return firstLineDelivered();
         }
         if (!proven) {
             return Result.of(Outcome.BROKEN);
@@ -109,6 +114,11 @@
         };
     }
 
+    /** What a first line with 200 says of the message of its exchange, where that carried only one. */
+    static Result firstLineDelivered() {
+        return Result.of(Outcome.DELIVERED);
+    }
+
     /** What a whole and clean answer to several messages says of one of them, by the protocol's word for it. */
     static Result reported(String word) {
         return switch (word) {
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -76,6 +76,12 @@
         /** So many messages were written whole to an endpoint. */
         void written(int messages);
 
+        /**
+         * The answer tells that the message of a call is over, after another end of that call was told: it had left its
+         * exchange, which others still waited for. {@code delivered}: by this call.
+         */
+        void overAfterEnd(Call call, boolean delivered);
+
         /** The exchange of a call that ended while it was open is over. */
         void closed(Call call);
 
@@ -324,6 +330,21 @@
             }
         }
 
+        /**
+         * An answer tells how it ended. What the answer says of its message binds, whether or not anybody still waits:
+         * a message that is over must not be sent again.
+         */
+        private void answered(AttemptOutcomes.Result result, double waitMs) {
+            if (result.endsMessage() && !held.endRead) {
+                held.endRead = true;
+                if (done) {
+                    boolean delivered = result.outcome() == Outcome.DELIVERED;
+                    loop.execute(() -> ends.overAfterEnd(this, delivered));
+                }
+            }
+            end(result, waitMs, Optional.empty());
+        }
+
         private void end(AttemptOutcomes.Result result, double waitMs, Optional<Interruption> interruption) {
             if (done) {
                 return;
@@ -425,7 +446,7 @@
         }
 
         private void write(Connection on) {
-            leaveUnless(ends::begins);
+            leaveUnless(call -> !call.held.endRead && ends.begins(call));
             if (nobodyWaits()) {
                 on.rest();
                 return;
@@ -467,12 +488,9 @@
 
         private void interrupted(Interruption cause) {
             Outcome outcome = AttemptOutcomes.interrupted(cause, requestMayArrive(false));
-            endAll(new AttemptOutcomes.Result(outcome, false), Optional.of(cause));
-        }
-
-        private void endAll(AttemptOutcomes.Result result, Optional<Interruption> interruption) {
+            AttemptOutcomes.Result result = new AttemptOutcomes.Result(outcome, false);
             calls.forEach(call -> call.timer.cancel(false));
-            calls.forEach(call -> call.end(result, waitMs, interruption));
+            calls.forEach(call -> call.end(result, waitMs, Optional.of(cause)));
         }
 
         /** Nobody waits for it. A connection that has gone on to another exchange is left alone. */
@@ -499,7 +517,7 @@
         private void received(ByteBuf input) {
             scanner.scan(input);
             if (calls.size() == 1 && scanner.status() == HttpResponseStatus.OK.code()) {
-                calls.get(0).end(new AttemptOutcomes.Result(Outcome.DELIVERED, false), 0, Optional.empty());
+                calls.get(0).answered(AttemptOutcomes.firstLineDelivered(), 0);
             }
         }
 
@@ -543,19 +561,16 @@
             return complete && delimited && !corrupted && scanner.isSingleAnswer() && scanner.status() == status;
         }
 
-        /**
-         * The answer is whole. Once one call has left, all that are left may have run: a call has one fate at its
-         * destination, and what is over there is not counted on.
-         */
+        /** The answer is whole: what it says counts for all its messages, also for those that have left. */
         private void conclude() {
             boolean reports = status == HttpResponseStatus.OK.code() && calls.size() > 1;
+            calls.forEach(call -> call.timer.cancel(false));
             if (reports && isProof()) {
-                calls.forEach(call -> call.timer.cancel(false));
-                BatchAnswer answer = new BatchAnswer(leftCalls > 0 ? "" : body.toString(StandardCharsets.ISO_8859_1));
-                calls.forEach(call -> call.end(AttemptOutcomes.reported(answer.word(call.held.id)), waitMs,
-                        Optional.empty()));
+                BatchAnswer answer = new BatchAnswer(body.toString(StandardCharsets.ISO_8859_1));
+                calls.forEach(call -> call.answered(AttemptOutcomes.reported(answer.word(call.held.id)), waitMs));
             } else {
-                endAll(AttemptOutcomes.answered(scanner.status(), isProof(), refusal, calls.size()), Optional.empty());
+                AttemptOutcomes.Result all = AttemptOutcomes.answered(scanner.status(), isProof(), refusal, calls.size());
+                calls.forEach(call -> call.answered(all, waitMs));
             }
             tellWait();
             over();
--- a/src/main/java/kestreldeal/net/Held.java
+++ b/src/main/java/kestreldeal/net/Held.java
@@ -31,6 +31,8 @@
     private int answersOut;
     /** Its client has heard that it was taken; what comes back from the journal counts as heard. */
     boolean told;
+    /** An answer has been read that tells its end, though the module may not know yet: nothing is written for it now. */
+    boolean endRead;
     /** Nothing may be sent for it any more: delivered, over, or ended by a notice. */
     boolean over;
 
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -483,6 +483,18 @@
             }
         }
 
+        @Override
+        public void overAfterEnd(Endpoints.Call call, boolean delivered) {
+            events.add("over-after-end", "id", call.held.id, "attempt", call.attempt, "endpoint",
+                    call.held.attempts.get(call.attempt).endpoint, "delivered", delivered);
+            Runnable here = () -> Sender.this.overAfterEnd(call.held, delivered);
+            if (handover.leaving()) {
+                handover.tell(Link.line("over").put("message", call.held.number).put("delivered", delivered), here);
+            } else {
+                here.run();
+            }
+        }
+
         private void logUndelivered(Endpoints.Call call, Relay.Outcome outcome, boolean gone, double waitMs,
                 double took) {
             AttemptReport report = call.report();
@@ -526,22 +538,43 @@
 
     private void attemptEnded(Held held, int attempt, Relay.Outcome outcome, boolean gone, double waitMs,
             double took, boolean open) {
-        try {
-            if (!held.over && (gone || outcome == Relay.Outcome.DELIVERED)) {
-                over(held, gone ? Stats.End.FAILED : Stats.End.SERVED);
-                journal.ended(held, gone ? FinishedMessage.Result.FAILED : FinishedMessage.Result.DELIVERED);
-            } else if (!held.over && !outcome.mayHaveRun()) {
+        if (gone || outcome == Relay.Outcome.DELIVERED) {
+            overByAnswer(held, !gone);
+        } else if (!held.over && !outcome.mayHaveRun()) {
+            try {
                 journal.neverRan(held, attempt);
+            } catch (IOException e) {
+                // A later life then repeats what it may, and gives up what it may not: true, if wasteful.
+                Log.line("an end is not in the journal: " + e.getMessage());
             }
-        } catch (IOException e) {
-            // A later life then repeats what it may, and gives up what it may not: true, if wasteful.
-            Log.line("an end is not in the journal: " + e.getMessage());
         }
         boolean finished = held.over;
         event(() -> relay.attemptEnded(openTurn(), new Relay.AttemptEnd(held.number, attempt, outcome, took,
                 finished, waitMs, open)));
     }
 
+    /** An answer tells that a message is over: nothing more is owed for it, and nothing may be sent. */
+    private void overByAnswer(Held held, boolean delivered) {
+        if (held.over) {
+            return;
+        }
+        over(held, delivered ? Stats.End.SERVED : Stats.End.FAILED);
+        try {
+            journal.ended(held, delivered ? FinishedMessage.Result.DELIVERED : FinishedMessage.Result.FAILED);
+        } catch (IOException e) {
+            // A later life then repeats what it may, and gives up what it may not: true, if wasteful.
+            Log.line("an end is not in the journal: " + e.getMessage());
+        }
+    }
+
+    /** As {@link #overByAnswer}, where the attempt's own end was told before. */
+    private void overAfterEnd(Held held, boolean delivered) {
+        if (!held.over) {
+            overByAnswer(held, delivered);
+            event(() -> relay.withdrawn(openTurn(), held.number));
+        }
+    }
+
     /** The one place where the end of what was taken is counted. */
     private void over(Held held, Stats.End end) {
         stats.ended(held.messageClass, end);
@@ -930,6 +963,8 @@
                         line.path("open").asBoolean());
                 case "wait" -> event(() -> relay.waitTold(openTurn(), line.path("endpoint").asLong(),
                         line.path("waitMs").asDouble()));
+                case "over" -> inherited.held(message).ifPresent(
+                        held -> overAfterEnd(held, line.path("delivered").asBoolean()));
                 case "closed" -> closed(message);
                 case "answered" -> answered(message, line.path("heard").asBoolean());
                 case "submit" -> submit(line);
--- a/src/test/java/kestreldeal/net/PermissiveEnds.java
+++ b/src/test/java/kestreldeal/net/PermissiveEnds.java
@@ -17,6 +17,16 @@
         // Not looked at.
     }
 
+    @Override
+    public void written(int messages) {
+        // Not looked at.
+    }
+
+    @Override
+    public void overAfterEnd(Endpoints.Call call, boolean delivered) {
+        // Not looked at.
+    }
+
     @Override
     public void closed(Endpoints.Call call) {
         // Not looked at.
