Write no last byte of a call that carries a cancelled message

Cause, found while looking for the same mistake in related code: a message that had ended elsewhere stayed in a call that was only partly in its socket, and arrived after its end with the others of that call.

Change: a cancelled message ends such a call before its last byte. The others have surely not run, and are tried again. Test: MessageEndTest with small socket buffers; it failed without the mend (the call arrived whole).

--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -322,10 +322,12 @@
             }
             left = true;
             boolean last = ++exchange.leftCalls == exchange.calls.size();
-            toldOpen = !done && !last && exchange.connection != null;
-            Outcome outcome = AttemptOutcomes.interrupted(cause, exchange.requestMayArrive(!last));
+            // What is cancelled is over: its last byte must not go out any more, not even for the others' sake.
+            boolean closes = last || cause == Interruption.CANCELLED && exchange.isPartlyWritten();
+            toldOpen = !done && !closes && exchange.connection != null;
+            Outcome outcome = AttemptOutcomes.interrupted(cause, exchange.requestMayArrive(!closes));
             end(new AttemptOutcomes.Result(outcome, false), 0, Optional.of(cause));
-            if (last) {
+            if (closes) {
                 exchange.close(CloseReason.NOT_AWAITED);
             }
         }
@@ -476,6 +478,10 @@
             return flushed || corrupted || staysOpen && connection != null;
         }
 
+        private boolean isPartlyWritten() {
+            return connection != null && connection.exchange == this && !flushed;
+        }
+
         /** The connection is gone. */
         private void lost() {
             if (complete) {
--- a/src/test/java/kestreldeal/net/MessageEndTest.java
+++ b/src/test/java/kestreldeal/net/MessageEndTest.java
@@ -8,7 +8,10 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
@@ -26,6 +29,9 @@
     private static final long SECOND = 2;
     private static final double SHORT_MS = 200;
     private static final double LONG_MS = 20_000;
+    /** Two of them fill a call, and are more than small buffers of sockets hold. */
+    private static final int LARGE_BODY = 30_000;
+
     /** What was told of a call. */
     private sealed interface Told {
         record Ended(String id, int attempt, Outcome outcome, boolean gone, boolean open) implements Told {
@@ -181,4 +187,42 @@
                 new Told.Ended("raced", 1, Outcome.NOT_SENT, false, false)), List.of(next(), next()));
         assertEquals(0, second.requests.size());
     }
+
+    /** A socket that takes only part of a large call while its peer does not read. */
+    private static final class SmallBufferChannel extends UnreadInputChannel {
+        SmallBufferChannel() {
+            config().setSendBufferSize(4096);
+        }
+    }
+
+    /** The others of a call that is partly written took it along, and it arrived after its end. */
+    @Test
+    void theLastByteOfACallWithACancelledMessageIsNotWritten() throws Exception {
+        try (ServerSocket server = new ServerSocket()) {
+            server.setReceiveBufferSize(4096);
+            server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            open(SmallBufferChannel::new, (InetSocketAddress) server.getLocalSocketAddress());
+            Endpoints.Call over = inLoop(() -> {
+                Endpoints.Call call = call(held("over", LARGE_BODY), 0, FIRST, LONG_MS);
+                call(held("other", LARGE_BODY), 0, FIRST, LONG_MS);
+                endpoints.flush();
+                return call;
+            });
+            try (Socket socket = server.accept()) {
+                // Its connection is up, and the call has begun.
+                int arrived = socket.getInputStream().read() < 0 ? 0 : 1;
+                inLoop(() -> {
+                    endpoints.cancel(over);
+                    return null;
+                });
+                assertEquals(List.of(new Told.Ended("over", 0, Outcome.CANCELLED, false, false),
+                        new Told.Ended("other", 0, Outcome.UNREACHABLE, false, false)), List.of(next(), next()));
+                byte[] buffer = new byte[1 << 16];
+                for (int n = socket.getInputStream().read(buffer); n >= 0; n = socket.getInputStream().read(buffer)) {
+                    arrived += n;
+                }
+                assertTrue(arrived < 2 * LARGE_BODY, "it arrived whole");
+            }
+        }
+    }
 }
