Read an answer on that is coming in when its time is up

Cause, found while looking for the same mistake in related code: reads may be short, and what is due runs after one more read; so an answer that lay whole in the socket when its time was up was read in part, its connection closed, and its end lost.

Change: a time-out waits while bytes of the answer came within the last millisecond, 10 ms at most. Test: MessageEndTest with a socket that gives a byte a read; it failed without the mend (TIMED_OUT for DELIVERED).

--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -54,6 +54,10 @@
     private static final long SWEEP_MS = 500;
     /** Weight of a new gap between exchanges in the usual one. */
     private static final double GAP_WEIGHT = 0.25;
+    /** Bytes that came so shortly ago are taken for a part of an answer of which more has come. */
+    private static final long READ_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+    /** A time-out waits for the rest of such an answer for so long at most. */
+    private static final long READ_ON_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
     /** Longest body of a request, and of an answer that is read: the protocol's bound for both. */
     private static final int LONGEST_BODY = 64 * 1024;
 
@@ -310,8 +314,15 @@
             return report;
         }
 
+        /** An answer that is just being read, in however many reads, is read on for a moment. */
         private void timedOut() {
-            leave(Interruption.TIMED_OUT);
+            long now = System.nanoTime();
+            boolean mayReadOn = now - startedNanos < timeoutMs * 1e6 + READ_ON_NANOS;
+            if (!left && mayReadOn && now - exchange.readAtNanos < READ_GAP_NANOS) {
+                Due.next(loop, this::timedOut);
+            } else {
+                leave(Interruption.TIMED_OUT);
+            }
         }
 
         /** Nobody waits for it any more; the last of its exchange takes the connection with it. */
@@ -384,6 +395,8 @@
         private double waitMs;
         /** All of the answer has come. */
         private boolean complete;
+        /** When bytes of it came last. */
+        private long readAtNanos = System.nanoTime() - READ_GAP_NANOS;
 
         private Exchange(Peer peer) {
             this.peer = peer;
@@ -521,6 +534,7 @@
 
         /** More bytes of the answer have come; a first line with 200 counts, whatever becomes of the rest. */
         private void received(ByteBuf input) {
+            readAtNanos = System.nanoTime();
             scanner.scan(input);
             if (calls.size() == 1 && scanner.status() == HttpResponseStatus.OK.code()) {
                 calls.get(0).answered(AttemptOutcomes.firstLineDelivered(), 0);
--- a/src/test/java/kestreldeal/net/MessageEndTest.java
+++ b/src/test/java/kestreldeal/net/MessageEndTest.java
@@ -1,8 +1,10 @@
 package kestreldeal.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -16,6 +18,7 @@
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import kestreldeal.Relay.Outcome;
@@ -225,4 +228,37 @@
             }
         }
     }
+
+    /** A socket that gives one byte a read, as one may. */
+    private static final class ByteByByteChannel extends UnreadInputChannel {
+        @Override
+        protected int doReadBytes(ByteBuf bytes) throws Exception {
+            return bytes.writeBytes(javaChannel(), 1);
+        }
+    }
+
+    /** The time-out came while the answer was read, a byte at a time, and its connection was closed. */
+    @Test
+    void anAnswerThatIsBeingReadWhenTheTimeIsUpIsReadOn() throws Exception {
+        open(ByteByByteChannel::new, first.address());
+        CountDownLatch answered = new CountDownLatch(1);
+        first.script((request, socket) -> {
+            Stub.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            answered.countDown();
+        });
+        inLoop(() -> {
+            call(held("late", 5), 0, FIRST, SHORT_MS);
+            endpoints.flush();
+            return null;
+        });
+        Stub.await("the call arrives", () -> first.requests.size() == 1);
+        inLoop(() -> {
+            // The loop reads nothing until the whole answer lies in the socket and the time is up.
+            SenderFixture.awaitLatch(answered);
+            TimeUnit.MILLISECONDS.sleep((long) SHORT_MS);
+            return null;
+        });
+        assertEquals(new Told.Ended("late", 0, Outcome.DELIVERED, false, false), next());
+        assertFalse(first.requests.isEmpty());
+    }
 }
