Keep what has happened until the disk takes it, and cut torn records off first

And a write that failed half way, whose bytes could not be cut off either, left the file's position behind them: all that was written later stood behind a torn record, which a replay does not pass.

Change: JournalFile has the file now. What has happened and can't be written is kept in order, tried again every 0.1 s, and written before anything else; what is about to happen (a message taken on, an attempt begun, an order) is refused meanwhile. Writes go to the known end of the file, and torn bytes are cut off before the next one. A compacted copy stands for all that waited. An upgrade does not begin while something waits.

--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -5,11 +5,7 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashSet;
@@ -38,35 +34,32 @@
     /** Share of the bound that messages which have ended may take up. */
     private static final int FINISHED_SHARE = 16;
 
-    private final Path file;
-    private final Path next;
+    private final JournalFile file;
     private final long bound;
     private final long messageRoom;
     private final Map<Long, Held> live = new TreeMap<>();
     private final FinishedMessages finished;
-    private FileChannel channel;
-    private long size;
     private long liveBytes;
     private long numbers;
     /** What the operators have ordered, which a later life keeps to. */
     private boolean drained;
     private final Set<String> maintained = new LinkedHashSet<>();
     private long orderBytes;
+    private Runnable whenBehind = () -> { };
 
     Journal(Path folder, long diskBytes, int maxAttempts) throws IOException {
-        this.file = folder.resolve("journal");
-        this.next = folder.resolve("journal.next");
+        this(folder, diskBytes, maxAttempts, JournalFile.Disk.REAL);
+    }
+
+    /** On a disk of its own, for tests. */
+    Journal(Path folder, long diskBytes, int maxAttempts, JournalFile.Disk disk) throws IOException {
         this.bound = diskBytes - BLOCKS;
         this.finished = new FinishedMessages(bound / FINISHED_SHARE);
         this.messageRoom = (long) maxAttempts * ATTEMPT_ROOM + END_ROOM;
-        // A compaction that the process did not live to finish still takes up room.
-        Files.deleteIfExists(next);
-        channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-        size = replay(Files.readAllBytes(file));
-        orders();
+        this.file = new JournalFile(folder.resolve("journal"), folder.resolve("journal.next"), disk);
         // A torn tail would hide all that is appended behind it.
-        channel.truncate(size);
-        channel.position(size);
+        file.endsAt(replay(file.read()));
+        orders();
     }
 
     /** What was held when the last process ended, in the order taken. */
@@ -104,41 +97,41 @@
     }
 
     /** It ended before it began, or its end proved that it never ran; if this is lost, a begun one may have. */
-    void neverRan(Held held, int attempt) throws IOException {
+    void neverRan(Held held, int attempt) {
         if (attempt >= held.recorded) {
             record(held, attempt + 1);
         } else if (!held.attempts.get(attempt).neverRan) {
             held.attempts.get(attempt).neverRan = true;
-            append(held, JournalRecord.mark(JournalRecord.NEVER_RAN, held, attempt));
+            record(held, JournalRecord.mark(JournalRecord.NEVER_RAN, held, attempt));
         }
     }
 
     /** Records so many attempts, those that were not as not begun: later records know them by their places. */
-    private void record(Held held, int attempts) throws IOException {
+    private void record(Held held, int attempts) {
         while (held.recorded < attempts) {
-            append(held, JournalRecord.attempt(held, held.attempts.get(held.recorded), false));
+            record(held, JournalRecord.attempt(held, held.attempts.get(held.recorded), false));
             held.recorded++;
         }
     }
 
     /** The message has ended by a notice that is still to be heard. */
-    void owed(Held held, Held.Notice notice) throws IOException {
+    void owed(Held held, Held.Notice notice) {
         held.owed = Optional.of(notice);
         keep(FinishedMessage.noticed(held, notice));
-        append(held, JournalRecord.owed(held, notice));
+        record(held, JournalRecord.owed(held, notice));
     }
 
     /** Nothing more is owed for the message: a notice of its end was heard, or nobody ever heard it was taken. */
-    void ended(Held held) throws IOException {
+    void ended(Held held) {
         ended(held, held.owed.map(notice -> FinishedMessage.noticed(held, notice)));
     }
 
     /** The message has ended without a notice. */
-    void ended(Held held, FinishedMessage.Result result) throws IOException {
+    void ended(Held held, FinishedMessage.Result result) {
         ended(held, Optional.of(FinishedMessage.ended(held, result)));
     }
 
-    private void ended(Held held, Optional<FinishedMessage> end) throws IOException {
+    private void ended(Held held, Optional<FinishedMessage> end) {
         end.ifPresent(this::keep);
         if (live.remove(held.number) != null) {
             liveBytes -= held.bytes;
@@ -146,7 +139,7 @@
             ByteArrayOutputStream records = new ByteArrayOutputStream();
             records.writeBytes(JournalRecord.ended(held));
             end.map(JournalRecord::finished).ifPresent(records::writeBytes);
-            write(records.toByteArray());
+            record(records.toByteArray());
         }
     }
 
@@ -161,7 +154,7 @@
 
     /** Clients are sent away from now on, or taken again. */
     void drained(boolean on) throws IOException {
-        write(JournalRecord.drained(on));
+        append(JournalRecord.drained(on));
         drained = on;
         orders();
     }
@@ -172,7 +165,7 @@
 
     /** An endpoint is left out from now on, or put back. */
     void maintained(String endpoint, boolean out) throws IOException {
-        write(JournalRecord.maintained(endpoint, out));
+        append(JournalRecord.maintained(endpoint, out));
         if (out) {
             maintained.add(endpoint);
         } else {
@@ -199,6 +192,22 @@
         return bytes.toByteArray();
     }
 
+    /** Called each time that something which has happened is not in the file, as the disk did not take it. */
+    void whenBehind(Runnable task) {
+        whenBehind = task;
+    }
+
+    /** Tries to write what the disk did not take; whether all is in the file now. */
+    boolean catchUp() {
+        try {
+            makeRoom(0);
+            file.catchUp();
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Lets go of the file, since another process may write it now; nothing is recorded until {@link #resume}. */
     void pause() {
         close();
@@ -206,9 +215,7 @@
 
     /** That process has written nothing; what is known here still stands in the file. */
     void resume() throws IOException {
-        channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-        channel.truncate(size);
-        channel.position(size);
+        file.reopen();
     }
 
     /** All numbers below this one are used. */
@@ -223,56 +230,57 @@
 
     /** Bytes of the file now. */
     long size() {
-        return size;
+        return file.size();
     }
 
     @Override
     public void close() {
-        try {
-            channel.close();
-        } catch (IOException e) {
-            Log.line("closing the journal: " + e.getMessage());
-        }
+        file.close();
     }
 
     // ---- writing ----
 
+    /** What is about to happen to a message; throws if it can't be written, and then must not happen. */
     private void append(Held held, byte[] record) throws IOException {
-        write(record);
-        held.bytes += record.length;
-        liveBytes += record.length;
+        append(record);
+        count(held, record.length);
     }
 
-    private void write(byte[] record) throws IOException {
-        if (size + compactedBytes() + 2L * record.length > bound) {
-            compact();
-        }
-        if (size + record.length > bound) {
+    private void append(byte[] record) throws IOException {
+        makeRoom(record.length);
+        if (file.size() + file.unwrittenBytes() + record.length > bound) {
             throw new IOException("the journal is full");
         }
-        writeAll(channel, record);
-        size += record.length;
+        file.append(record);
     }
 
-    /** What a compacted copy takes up. */
-    private long compactedBytes() {
-        return orderBytes + finished.bytes() + liveBytes;
+    /** What has happened to a message. */
+    private void record(Held held, byte[] record) {
+        record(record);
+        count(held, record.length);
     }
 
-    /** A record that is written in part must not stay: all behind it would be lost at the next start. */
-    private void writeAll(FileChannel to, byte[] bytes) throws IOException {
-        long start = to.position();
+    private void record(byte[] record) {
         try {
-            ByteBuffer buffer = ByteBuffer.wrap(bytes);
-            while (buffer.hasRemaining()) {
-                to.write(buffer);
-            }
+            append(record);
         } catch (IOException e) {
-            to.truncate(start);
-            throw e;
+            file.defer(record, e);
+            whenBehind.run();
+        }
+    }
+
+    /** Compacts the file where otherwise this record would leave no room for a compacted copy beside it. */
+    private void makeRoom(int recordLength) throws IOException {
+        if (file.size() + file.unwrittenBytes() + compactedBytes() + 2L * recordLength > bound) {
+            compact();
         }
     }
 
+    /** What a compacted copy takes up. */
+    private long compactedBytes() {
+        return orderBytes + finished.bytes() + liveBytes;
+    }
+
     private void compact() throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream((int) compactedBytes());
         bytes.write(orders());
@@ -288,19 +296,7 @@
                 bytes.write(JournalRecord.owed(held, held.owed.get()));
             }
         }
-        FileChannel fresh = FileChannel.open(next, StandardOpenOption.CREATE,
-                StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE);
-        try {
-            writeAll(fresh, bytes.toByteArray());
-            Files.move(next, file, StandardCopyOption.ATOMIC_MOVE);
-        } catch (IOException e) {
-            fresh.close();
-            Files.deleteIfExists(next);
-            throw e;
-        }
-        channel.close();
-        channel = fresh;
-        size = bytes.size();
+        file.replace(bytes.toByteArray());
     }
 
     // ---- reading ----
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -48,6 +48,8 @@
     private static final long DRAIN_POLL_MS = 20;
     /** Longest warm-up. */
     private static final long WARM_MS = 2300;
+    /** Records that the disk did not take are tried again so often. */
+    private static final long JOURNAL_RETRY_MS = 100;
     /** Stands for no message in what passes between two processes. */
     private static final long NO_MESSAGE = -1;
     /** A new version that gets no list in this time takes over with the old process's list. */
@@ -86,6 +88,8 @@
     private final Untried untried = new Untried();
     private StateLock lock;
     private boolean owner;
+    /** Records wait for the disk, and are to be tried again. */
+    private boolean catchUpDue;
     /** Nothing is decided: a new process is taking over. */
     private boolean frozen;
     private final CompletableFuture<InetSocketAddress> serving = new CompletableFuture<>();
@@ -189,6 +193,7 @@
     private void own(StateLock token, Optional<JsonNode> state) throws IOException {
         lock = token;
         journal = new Journal(config.state(), config.diskBytes(), config.settings().maxAttempts());
+        journal.whenBehind(this::catchUpLater);
         Optional<Relay.Memory> memory = state.flatMap(this::memory);
         if (memory.isPresent()) {
             state.get().path("endpoints").forEach(id -> registry.number(id.asText()));
@@ -208,6 +213,20 @@
         handover.listen(config.handover());
     }
 
+    /** The disk did not take a record: it is tried again until it does, whether or not anything else happens. */
+    private void catchUpLater() {
+        if (catchUpDue) {
+            return;
+        }
+        catchUpDue = true;
+        loop.schedule(() -> {
+            catchUpDue = false;
+            if (!frozen && !journal.catchUp()) {
+                catchUpLater();
+            }
+        }, JOURNAL_RETRY_MS, TimeUnit.MILLISECONDS);
+    }
+
     /** What the old process knew, if it can be read and means the same here. */
     private Optional<Relay.Memory> memory(JsonNode state) {
         List<String> classes = new ArrayList<>();
@@ -430,12 +449,7 @@
         over(held, notice.bounced() ? Stats.End.REFUSED : Stats.End.FAILED);
         events.add("notice-owed", "id", held.id, "class", held.messageClass, "bounced", notice.bounced(),
                 "attempts", held.attempts.size(), "left_ms", held.deadlineMs - System.currentTimeMillis());
-        try {
-            journal.owed(held, notice);
-        } catch (IOException e) {
-            Log.line("a notice is not in the journal: " + e.getMessage());
-            held.owed = Optional.of(notice);
-        }
+        journal.owed(held, notice);
         notices.owe(held);
     }
 
@@ -541,12 +555,7 @@
         if (gone || outcome == Relay.Outcome.DELIVERED) {
             overByAnswer(held, !gone);
         } else if (!held.over && !outcome.mayHaveRun()) {
-            try {
-                journal.neverRan(held, attempt);
-            } catch (IOException e) {
-                // A later life then repeats what it may, and gives up what it may not: true, if wasteful.
-                Log.line("an end is not in the journal: " + e.getMessage());
-            }
+            journal.neverRan(held, attempt);
         }
         boolean finished = held.over;
         event(() -> relay.attemptEnded(openTurn(), new Relay.AttemptEnd(held.number, attempt, outcome, took,
@@ -559,12 +568,7 @@
             return;
         }
         over(held, delivered ? Stats.End.SERVED : Stats.End.FAILED);
-        try {
-            journal.ended(held, delivered ? FinishedMessage.Result.DELIVERED : FinishedMessage.Result.FAILED);
-        } catch (IOException e) {
-            // A later life then repeats what it may, and gives up what it may not: true, if wasteful.
-            Log.line("an end is not in the journal: " + e.getMessage());
-        }
+        journal.ended(held, delivered ? FinishedMessage.Result.DELIVERED : FinishedMessage.Result.FAILED);
     }
 
     /** As {@link #overByAnswer}, where the attempt's own end was told before. */
@@ -591,19 +595,10 @@
     /** The platform has answered the notice: only now is the message over. */
     private void heard(Held held) {
         events.add("notice-heard", "id", held.id);
-        forget(held);
+        journal.ended(held);
         event(() -> relay.heard(openTurn(), held.number));
     }
 
-    private void forget(Held held) {
-        try {
-            journal.ended(held);
-        } catch (IOException e) {
-            // It is told again after a restart, which does no harm.
-            Log.line("a notice's end is not in the journal: " + e.getMessage());
-        }
-    }
-
     private void listed(boolean whole, List<Discovery.Entry> entries) {
         if (!owner) {
             return;
@@ -760,7 +755,7 @@
             // A client that never heard of its being taken is owed nothing, and will come again.
             events.add("taken-unheard", "id", held.id);
             over(held);
-            forget(held);
+            journal.ended(held);
             return;
         }
         int messageClass = config.classes().indexOf(held.messageClass);
@@ -856,7 +851,8 @@
     private final class Estate implements Handover.Estate {
         @Override
         public boolean mayLeave() {
-            return ready && listening && !closing && !takeover.hasPartner();
+            // What the disk did not take would not be the new process's.
+            return ready && listening && !closing && !takeover.hasPartner() && journal.catchUp();
         }
 
         @Override
@@ -884,6 +880,7 @@
             lock = StateLock.take(config.state()).orElseThrow(() -> new IOException("another process owns"));
             journal.resume();
             frozen = false;
+            catchUpLater();
             notices.resume();
             // What waits is decided with the next turn.
             openTurn();
@@ -1106,6 +1103,9 @@
 
     private void ended() {
         intake.readNoMore();
+        if (owner && !handover.left()) {
+            journal.catchUp();
+        }
         events.flush();
         Log.line(config.name() + " ends; its journal holds " + open.size() + " messages and "
                 + notices.owed() + " notices");
