--- a/src/main/java/kestreldeal/net/FinishedMessage.java
+++ b/src/main/java/kestreldeal/net/FinishedMessage.java
@@ -5,7 +5,7 @@
  * closes under its request, or before it has read the answer, sends the same request once more.
  *
  * @param waitMs after how long a refused message may be handed in again, or 0
- * @param expiresAtMs wall time, since it must hold after a restart
+ * @param expiresAtMs by the journal's {@link SteadyClock}, since it must hold after a restart
  */
 record FinishedMessage(String id, Result result, double waitMs, long expiresAtMs) {
     /** From its deadline on, an id may still come for so long: within this time a restarted sender serves again. */
--- a/src/main/java/kestreldeal/net/FinishedMessages.java
+++ b/src/main/java/kestreldeal/net/FinishedMessages.java
@@ -61,7 +61,8 @@
         return bytes;
     }
 
-    private void removeExpired(long nowMs) {
+    /** Forgets what can't come again. */
+    void removeExpired(long nowMs) {
         while (!byExpiry.isEmpty() && byExpiry.first().message.isExpired(nowMs)) {
             remove(byExpiry.first());
         }
--- a/src/main/java/kestreldeal/net/Held.java
+++ b/src/main/java/kestreldeal/net/Held.java
@@ -18,7 +18,7 @@
     /** What it is about: messages of one thread go out in order, in classes that keep it. */
     final Optional<String> thread;
     final long destination;
-    /** Wall time, since it must hold in a later life. */
+    /** By the journal's {@link SteadyClock}, since it must hold in a later life. */
     final long deadlineMs;
     final byte[] body;
     final List<Attempt> attempts = new ArrayList<>();
--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -35,6 +35,11 @@
     private static final int FINISHED_SHARE = 16;
 
     private final JournalFile file;
+    private final SteadyClock clock;
+    /** The base of the clock that an earlier process has left. */
+    private Optional<SteadyClock.Base> earlierBase = Optional.empty();
+    /** The base of the clock is in the file, where it has to be before any time by it. */
+    private boolean clockRecorded;
     private final long bound;
     private final long messageRoom;
     private final Map<Long, Held> live = new TreeMap<>();
@@ -44,22 +49,31 @@
     /** What the operators have ordered, which a later life keeps to. */
     private boolean drained;
     private final Set<String> maintained = new LinkedHashSet<>();
-    private long orderBytes;
+    private long headerBytes;
     private Runnable whenBehind = () -> { };
 
     Journal(Path folder, long diskBytes, int maxAttempts) throws IOException {
-        this(folder, diskBytes, maxAttempts, JournalFile.Disk.REAL);
+        this(folder, diskBytes, maxAttempts, JournalFile.Disk.REAL, TimeSource.SYSTEM);
     }
 
-    /** On a disk of its own, for tests. */
-    Journal(Path folder, long diskBytes, int maxAttempts, JournalFile.Disk disk) throws IOException {
+    /** On a disk and with clocks of its own, for tests. */
+    Journal(Path folder, long diskBytes, int maxAttempts, JournalFile.Disk disk, TimeSource time) throws IOException {
         this.bound = diskBytes - BLOCKS;
         this.finished = new FinishedMessages(bound / FINISHED_SHARE);
         this.messageRoom = (long) maxAttempts * ATTEMPT_ROOM + END_ROOM;
         this.file = new JournalFile(folder.resolve("journal"), folder.resolve("journal.next"), disk);
         // A torn tail would hide all that is appended behind it.
         file.endsAt(replay(file.read()));
-        orders();
+        this.clock = earlierBase.map(base -> SteadyClock.resume(time, base))
+                .orElseGet(() -> SteadyClock.fromWallClock(time));
+        clockRecorded = earlierBase.equals(Optional.of(clock.base()));
+        finished.removeExpired(clock.nowMs());
+        header();
+    }
+
+    /** The clock by which all times here are kept. */
+    SteadyClock clock() {
+        return clock;
     }
 
     /** What was held when the last process ended, in the order taken. */
@@ -75,7 +89,7 @@
     /** Takes a message on, or throws: then it must be refused. */
     void taken(Held held) throws IOException {
         byte[] record = JournalRecord.taken(held);
-        long needed = orderBytes + bound / FINISHED_SHARE + liveBytes + record.length + messageRoom * (live.size() + 1L);
+        long needed = headerBytes + bound / FINISHED_SHARE + liveBytes + record.length + messageRoom * (live.size() + 1L);
         if (2 * needed > bound) {
             throw new IOException("the journal has no room for another message");
         }
@@ -144,19 +158,19 @@
     }
 
     private void keep(FinishedMessage message) {
-        finished.add(message, JournalRecord.finished(message).length, System.currentTimeMillis());
+        finished.add(message, JournalRecord.finished(message).length, clock.nowMs());
     }
 
     /** How the message with this id has ended, if it did and its id may still come again. */
     Optional<FinishedMessage> finished(String id) {
-        return finished.find(id, System.currentTimeMillis());
+        return finished.find(id, clock.nowMs());
     }
 
     /** Clients are sent away from now on, or taken again. */
     void drained(boolean on) throws IOException {
         append(JournalRecord.drained(on));
         drained = on;
-        orders();
+        header();
     }
 
     boolean drained() {
@@ -171,7 +185,7 @@
         } else {
             maintained.remove(endpoint);
         }
-        orders();
+        header();
     }
 
     /** Endpoints that operators have left out. */
@@ -179,16 +193,17 @@
         return Set.copyOf(maintained);
     }
 
-    /** The orders that stand, as a compacted copy holds them. */
-    private byte[] orders() throws IOException {
+    /** The base of the clock and the orders that stand, as a compacted copy begins with them. */
+    private byte[] header() {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        bytes.writeBytes(JournalRecord.clock(clock.base()));
         if (drained) {
-            bytes.write(JournalRecord.drained(true));
+            bytes.writeBytes(JournalRecord.drained(true));
         }
         for (String endpoint : maintained) {
-            bytes.write(JournalRecord.maintained(endpoint, true));
+            bytes.writeBytes(JournalRecord.maintained(endpoint, true));
         }
-        orderBytes = bytes.size();
+        headerBytes = bytes.size();
         return bytes.toByteArray();
     }
 
@@ -251,6 +266,10 @@
         if (file.size() + file.unwrittenBytes() + record.length > bound) {
             throw new IOException("the journal is full");
         }
+        if (!clockRecorded) {
+            file.append(JournalRecord.clock(clock.base()));
+            clockRecorded = true;
+        }
         file.append(record);
     }
 
@@ -278,13 +297,13 @@
 
     /** What a compacted copy takes up. */
     private long compactedBytes() {
-        return orderBytes + finished.bytes() + liveBytes;
+        return headerBytes + finished.bytes() + liveBytes;
     }
 
     private void compact() throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream((int) compactedBytes());
-        bytes.write(orders());
-        for (FinishedMessage message : finished.unexpired(System.currentTimeMillis())) {
+        bytes.write(header());
+        for (FinishedMessage message : finished.unexpired(clock.nowMs())) {
             bytes.write(JournalRecord.finished(message));
         }
         for (Held held : live.values()) {
@@ -297,6 +316,7 @@
             }
         }
         file.replace(bytes.toByteArray());
+        clockRecorded = true;
     }
 
     // ---- reading ----
@@ -331,6 +351,10 @@
             applyFinished(in);
             return;
         }
+        if (type == JournalRecord.CLOCK) {
+            earlierBase = Optional.of(new SteadyClock.Base(in.readUTF(), in.readLong(), in.readLong()));
+            return;
+        }
         if (type == JournalRecord.DRAINED || type == JournalRecord.MAINTAINED) {
             applyOrder(type, in);
             return;
@@ -370,7 +394,7 @@
             case JournalRecord.OWED -> {
                 held.owed = Optional.of(new Held.Notice(in.readBoolean(), in.readDouble()));
                 held.over = true;
-                keep(FinishedMessage.noticed(held, held.owed.get()));
+                keepUnexpired(FinishedMessage.noticed(held, held.owed.get()));
             }
             case JournalRecord.ENDED -> {
                 live.remove(number);
@@ -389,7 +413,12 @@
         if (result < 0 || result >= results.length) {
             throw new IOException("unknown end " + result);
         }
-        keep(new FinishedMessage(id, results[result], in.readDouble(), in.readLong()));
+        keepUnexpired(new FinishedMessage(id, results[result], in.readDouble(), in.readLong()));
+    }
+
+    /** While records are read the clock is not known yet: what has expired is forgotten after. */
+    private void keepUnexpired(FinishedMessage message) {
+        finished.add(message, JournalRecord.finished(message).length, Long.MIN_VALUE);
     }
 
     private void applyOrder(int type, DataInputStream in) throws IOException {
--- a/src/main/java/kestreldeal/net/JournalRecord.java
+++ b/src/main/java/kestreldeal/net/JournalRecord.java
@@ -24,6 +24,8 @@
     static final int BEGUN = 9;
     /** How a message has ended, beside ENDED: versions that don't know it pass it over. */
     static final int FINISHED = 10;
+    /** The zero of the clock by which all times of the records are kept; versions that don't know it pass it over. */
+    static final int CLOCK = 11;
     /** Length and checksum. */
     static final int HEAD = 12;
     private static final int USUAL_LENGTH = 128;
@@ -89,6 +91,14 @@
         });
     }
 
+    static byte[] clock(SteadyClock.Base base) {
+        return record(CLOCK, 0, out -> {
+            out.writeUTF(base.boot());
+            out.writeLong(base.monotonicMs());
+            out.writeLong(base.steadyMs());
+        });
+    }
+
     static byte[] drained(boolean on) {
         return record(DRAINED, 0, out -> out.writeBoolean(on));
     }
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -241,7 +241,7 @@
     }
 
     private void inherit(JsonNode state, Relay.Memory memory) {
-        double age = Math.max(0, System.currentTimeMillis() - state.path("at").asLong());
+        double age = Math.max(0, journal.clock().nowMs() - state.path("at").asLong());
         Set<Long> known = new HashSet<>();
         for (Relay.MessageMemory m : memory.messages()) {
             known.add(m.message().id());
@@ -293,11 +293,11 @@
      * before a list is known: without one the module could only give all of it up.
      */
     private void replay() {
-        long wall = System.currentTimeMillis();
+        long steady = journal.clock().nowMs();
         int resumed = 0;
         for (Held held : journal.held()) {
             try {
-                resumed += replay(held, wall) ? 1 : 0;
+                resumed += replay(held, steady) ? 1 : 0;
             } catch (RuntimeException e) {
                 // What the module can't take is ended here, as it is owed its end; those behind it go on.
                 fault(e);
@@ -310,9 +310,9 @@
     }
 
     /** Whether the message goes on in this life. */
-    private boolean replay(Held held, long wall) {
+    private boolean replay(Held held, long steady) {
         int messageClass = config.classes().indexOf(held.messageClass);
-        double leftMs = held.deadlineMs - wall;
+        double leftMs = held.deadlineMs - steady;
         if (held.over) {
             notices.owe(held);
             if (messageClass >= 0) {
@@ -328,8 +328,8 @@
         double now = openTurn();
         List<Relay.EarlierAttempt> earlier = new ArrayList<>();
         for (Held.Attempt a : held.attempts) {
-            // A wall clock that was set back must not move a send into the future.
-            double sentAt = now - Math.max(0, wall - a.sentAtMs);
+            // After another boot the clocks may disagree, and must not move a send into the future.
+            double sentAt = now - Math.max(0, steady - a.sentAtMs);
             earlier.add(new Relay.EarlierAttempt(registry.number(a.endpoint), sentAt, !a.neverRan));
         }
         open.put(held.number, held);
@@ -403,7 +403,7 @@
     public void send(long message, long endpoint, double timeoutMs) {
         Held held = open.get(message);
         int number = held.attempts.size();
-        held.attempts.add(new Held.Attempt(registry.id(endpoint), System.currentTimeMillis()));
+        held.attempts.add(new Held.Attempt(registry.id(endpoint), journal.clock().nowMs()));
         calls.put(new Out(message, number), endpoints.call(held, number, endpoint, timeoutMs));
     }
 
@@ -448,7 +448,7 @@
     private void end(Held held, Held.Notice notice) {
         over(held, notice.bounced() ? Stats.End.REFUSED : Stats.End.FAILED);
         events.add("notice-owed", "id", held.id, "class", held.messageClass, "bounced", notice.bounced(),
-                "attempts", held.attempts.size(), "left_ms", held.deadlineMs - System.currentTimeMillis());
+                "attempts", held.attempts.size(), "left_ms", held.deadlineMs - journal.clock().nowMs());
         journal.owed(held, notice);
         notices.owe(held);
     }
@@ -706,7 +706,7 @@
             return refused(s, "no room", 0);
         }
         Held held = new Held(journal.nextNumber(), s.id(), s.messageClass(), s.tenant(), s.key(), s.thread(),
-                s.destination(), System.currentTimeMillis() + s.budgetMs(), s.body());
+                s.destination(), journal.clock().nowMs() + s.budgetMs(), s.body());
         try {
             OptionalDouble away = relay.turnsAway(openTurn(),
                     message(held, config.classes().indexOf(held.messageClass), s.budgetMs()));
@@ -759,7 +759,7 @@
             return;
         }
         int messageClass = config.classes().indexOf(held.messageClass);
-        double left = held.deadlineMs - System.currentTimeMillis();
+        double left = held.deadlineMs - journal.clock().nowMs();
         event(() -> relay.message(openTurn(), message(held, messageClass, left)));
     }
 
@@ -862,7 +862,7 @@
             // What is not written yet is the new process's to send; these ends come before what follows.
             new ArrayList<>(calls.values()).forEach(endpoints::callOffUnsent);
             loop.execute(() -> {
-                ObjectNode state = Link.line("state").put("at", System.currentTimeMillis())
+                ObjectNode state = Link.line("state").put("at", journal.clock().nowMs())
                         .put("numbers", journal.numbers());
                 state.set("classes", Link.JSON.valueToTree(config.classes()));
                 ArrayNode names = state.putArray("endpoints");
--- a/src/test/java/kestreldeal/net/JournalDiskFailureTest.java
+++ b/src/test/java/kestreldeal/net/JournalDiskFailureTest.java
@@ -25,7 +25,7 @@
     private final FailingDisk disk = new FailingDisk();
 
     private Journal open() throws IOException {
-        return new Journal(folder, DISK_BYTES, 12, disk);
+        return new Journal(folder, DISK_BYTES, 12, disk, TimeSource.SYSTEM);
     }
 
     private static Held take(Journal journal, int body) throws IOException {
--- a/src/test/java/kestreldeal/net/JournalTest.java
+++ b/src/test/java/kestreldeal/net/JournalTest.java
@@ -138,13 +138,15 @@
 
     @Test
     void aTornTailIsDroppedAndWrittenOver() throws Exception {
+        long first;
         try (Journal journal = open()) {
             journal.taken(held(journal, 10));
+            first = journal.size();
             journal.taken(held(journal, 10));
         }
         Path file = folder.resolve("journal");
         byte[] whole = Files.readAllBytes(file);
-        for (int cut = whole.length - 1; cut > whole.length / 2; cut -= 7) {
+        for (int cut = whole.length - 1; cut > first; cut -= 7) {
             Files.write(file, java.util.Arrays.copyOf(whole, cut));
             try (Journal journal = open()) {
                 assertEquals(1, journal.held().size());
