Confirm by a notice what the answer to a partly left call has accepted

No notice was unheard and no message was ended without one but by such answers.

Change: what such an answer accepts counts as delivered, is sent no more, and a notice (dead) confirms that it is over; its key waits until the notice is heard, also over a handover. An id that comes again is still answered as delivered.

Tests: ConfirmedEndTest on keys; JournalTest over restarts and compaction.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -385,6 +385,15 @@
         Optional.ofNullable(deliveries.get(message)).ifPresent(this::close);
     }
 
+    @Override
+    public void confirming(double now, long message) {
+        tick(now);
+        Optional.ofNullable(deliveries.get(message)).filter(d -> !d.ended).ifPresent(d -> {
+            d.unheard = true;
+            close(d);
+        });
+    }
+
     @Override
     public void wake(double now) {
         tick(now);
@@ -636,14 +645,7 @@
 
         /** Worth when delivered at that time. */
         double worthAt(double time) {
-            if (time > deadline) {
-                return 0;
-            }
-            double late = Math.max(0, time - aimAt);
-            double share = settings.decay() == Decay.HALVES
-                    ? Math.max(type.lateWorth(), Math.pow(0.5, late / type.aimMs()))
-                    : 1 - (1 - type.lateWorth()) * late / Math.max(1, type.deadlineMs() - type.aimMs());
-            return type.worth() * share;
+            return time > deadline ? 0 : type.worthWhenLate(Math.max(0, time - aimAt), settings.decay());
         }
 
         double rank() {
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -108,6 +108,12 @@
      */
     void withdrawn(double now, long message);
 
+    /**
+     * An answer tells that this message is delivered, and a notice is on its way that confirms its end: nothing is sent
+     * for it any more, and its key waits until {@link #heard}. If its attempt is out, the end of that follows.
+     */
+    void confirming(double now, long message);
+
     /** A wake asked for by {@link Actions#wakeAt} has come; early and stale ones do no harm. */
     void wake(double now);
 
@@ -271,6 +277,12 @@
      */
     record MessageClass(double aimMs, double deadlineMs, double worth, double lateWorth, Effect effect,
                         boolean sameZone, double windowMs, boolean inOrder) {
+        /** What a message is worth that is delivered so long after its aim, and before its deadline. */
+        double worthWhenLate(double lateMs, Decay decay) {
+            double share = decay == Decay.HALVES ? Math.max(lateWorth, Math.pow(0.5, lateMs / aimMs))
+                    : 1 - (1 - lateWorth) * lateMs / Math.max(1, deadlineMs - aimMs);
+            return worth * share;
+        }
     }
 
     /**
--- a/src/main/java/kestreldeal/net/AttemptReport.java
+++ b/src/main/java/kestreldeal/net/AttemptReport.java
@@ -12,6 +12,11 @@
  * @param left how many of those were not waited for any more
  */
 record AttemptReport(Optional<Interruption> interruption, int status, int messages, int left) {
+    /** Whether a message had left the call, whose answer then does not count for the platform in all cases. */
+    boolean wasPartlyLeft() {
+        return messages > 1 && left > 0;
+    }
+
     /** One word for the log. */
     String cause() {
         return interruption.map(Interruption::name).orElse("ANSWER");
--- a/src/main/java/kestreldeal/net/FinishedMessage.java
+++ b/src/main/java/kestreldeal/net/FinishedMessage.java
@@ -27,7 +27,7 @@
         return new FinishedMessage(message.id, result, notice.waitMs(), message.deadlineMs + REPEAT_GRACE_MS);
     }
 
-    /** The end of a message that needs no notice. */
+    /** The end of a message that an answer tells. */
     static FinishedMessage ended(Held message, Result result) {
         return new FinishedMessage(message.id, result, 0, message.deadlineMs + REPEAT_GRACE_MS);
     }
--- a/src/main/java/kestreldeal/net/Held.java
+++ b/src/main/java/kestreldeal/net/Held.java
@@ -53,6 +53,8 @@
 
     /** The end that the platform must still hear of. */
     record Notice(boolean bounced, double waitMs) {
+        /** Says nothing but that the message is over. */
+        static final Notice CONFIRMATION = new Notice(false, 0);
     }
 
     /** What is known of whether a client has heard that the message was taken. */
--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -28,7 +28,7 @@
     private static final int LONGEST = 1 << 20;
     /** Room for the later records of a message: for each attempt, and for its end. */
     private static final int ATTEMPT_ROOM = 128;
-    private static final int END_ROOM = 64;
+    private static final int END_ROOM = 256;
     /** Files count in whole blocks: two files, and a block to spare. */
     private static final int BLOCKS = 3 * 512;
     /** Share of the bound that messages which have ended may take up. */
@@ -130,14 +130,27 @@
 
     /** The message has ended by a notice that is still to be heard. */
     void owed(Held held, Held.Notice notice) {
+        owed(held, notice, FinishedMessage.noticed(held, notice));
+    }
+
+    /** The message was delivered, which a notice that is still to be heard confirms. */
+    void confirming(Held held) {
+        owed(held, Held.Notice.CONFIRMATION, FinishedMessage.ended(held, FinishedMessage.Result.DELIVERED));
+    }
+
+    private void owed(Held held, Held.Notice notice, FinishedMessage end) {
         held.owed = Optional.of(notice);
-        keep(FinishedMessage.noticed(held, notice));
-        record(held, JournalRecord.owed(held, notice));
+        keep(end);
+        ByteArrayOutputStream records = new ByteArrayOutputStream();
+        records.writeBytes(JournalRecord.owed(held, notice));
+        records.writeBytes(JournalRecord.finished(end));
+        record(held, records.toByteArray());
     }
 
     /** Nothing more is owed for the message: a notice of its end was heard, or nobody ever heard it was taken. */
     void ended(Held held) {
-        ended(held, held.owed.map(notice -> FinishedMessage.noticed(held, notice)));
+        ended(held, held.owed.map(notice -> finished.find(held.id, Long.MIN_VALUE)
+                .orElseGet(() -> FinishedMessage.noticed(held, notice))));
     }
 
     /** The message has ended without a notice. */
@@ -303,9 +316,6 @@
     private void compact() throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream((int) compactedBytes());
         bytes.write(header());
-        for (FinishedMessage message : finished.unexpired(clock.nowMs())) {
-            bytes.write(JournalRecord.finished(message));
-        }
         for (Held held : live.values()) {
             bytes.write(JournalRecord.taken(held));
             for (Held.Attempt attempt : held.attempts.subList(0, held.recorded)) {
@@ -315,6 +325,10 @@
                 bytes.write(JournalRecord.owed(held, held.owed.get()));
             }
         }
+        // Behind the notices, which alone don't tell whether their messages were delivered.
+        for (FinishedMessage message : finished.unexpired(clock.nowMs())) {
+            bytes.write(JournalRecord.finished(message));
+        }
         file.replace(bytes.toByteArray());
         clockRecorded = true;
     }
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -487,10 +487,11 @@
             if (outcome != Relay.Outcome.DELIVERED) {
                 logUndelivered(call, outcome, gone, waitMs, took);
             }
-            Runnable here = () -> attemptEnded(call.held, call.attempt, outcome, gone, waitMs, took, open);
+            boolean confirm = call.report().wasPartlyLeft();
+            Runnable here = () -> attemptEnded(call.held, call.attempt, outcome, gone, confirm, waitMs, took, open);
             if (handover.leaving()) {
                 handover.tell(Link.line("ended").put("message", call.held.number).put("attempt", call.attempt)
-                        .put("outcome", outcome.name()).put("gone", gone).put("waitMs", waitMs).put("tookMs", took)
+                        .put("outcome", outcome.name()).put("gone", gone).put("confirm", confirm).put("waitMs", waitMs).put("tookMs", took)
                         .put("open", open), here);
             } else {
                 here.run();
@@ -550,10 +551,14 @@
         }
     }
 
-    private void attemptEnded(Held held, int attempt, Relay.Outcome outcome, boolean gone, double waitMs,
-            double took, boolean open) {
-        if (gone || outcome == Relay.Outcome.DELIVERED) {
-            overByAnswer(held, !gone);
+    private void attemptEnded(Held held, int attempt, Relay.Outcome outcome, boolean gone, boolean confirm,
+            double waitMs, double took, boolean open) {
+        if (gone) {
+            overByAnswer(held, FinishedMessage.Result.FAILED);
+        } else if (outcome == Relay.Outcome.DELIVERED && confirm) {
+            confirm(held);
+        } else if (outcome == Relay.Outcome.DELIVERED) {
+            overByAnswer(held, FinishedMessage.Result.DELIVERED);
         } else if (!held.over && !outcome.mayHaveRun()) {
             journal.neverRan(held, attempt);
         }
@@ -563,18 +568,33 @@
     }
 
     /** An answer tells that a message is over: nothing more is owed for it, and nothing may be sent. */
-    private void overByAnswer(Held held, boolean delivered) {
-        if (held.over) {
-            return;
+    private void overByAnswer(Held held, FinishedMessage.Result result) {
+        if (!held.over) {
+            over(held, result == FinishedMessage.Result.DELIVERED ? Stats.End.SERVED : Stats.End.FAILED);
+            journal.ended(held, result);
         }
-        over(held, delivered ? Stats.End.SERVED : Stats.End.FAILED);
-        journal.ended(held, delivered ? FinishedMessage.Result.DELIVERED : FinishedMessage.Result.FAILED);
     }
 
-    /** As {@link #overByAnswer}, where the attempt's own end was told before. */
-    private void overAfterEnd(Held held, boolean delivered) {
+    /**
+     * The answer to a call that a message had left tells that a message is delivered. The platform does not count each
+     * such answer, so it also gets a notice, which does no harm where it does.
+     */
+    private void confirm(Held held) {
         if (!held.over) {
-            overByAnswer(held, delivered);
+            over(held, Stats.End.SERVED);
+            events.add("confirming", "id", held.id, "attempts", held.attempts.size());
+            journal.confirming(held);
+            notices.owe(held);
+            event(() -> relay.confirming(openTurn(), held.number));
+        }
+    }
+
+    /** An answer tells that a message is over whose attempt had ended otherwise before: it had left its call. */
+    private void overAfterEnd(Held held, boolean delivered) {
+        if (delivered) {
+            confirm(held);
+        } else if (!held.over) {
+            overByAnswer(held, FinishedMessage.Result.FAILED);
             event(() -> relay.withdrawn(openTurn(), held.number));
         }
     }
@@ -956,6 +976,7 @@
             switch (line.path("do").asText()) {
                 case "ended" -> ended(new Out(message, line.path("attempt").asInt()),
                         Relay.Outcome.valueOf(line.path("outcome").asText()), line.path("gone").asBoolean(),
+                        line.path("confirm").asBoolean(),
                         line.path("waitMs").asDouble(), line.path("tookMs").asDouble(),
                         line.path("open").asBoolean());
                 case "wait" -> event(() -> relay.waitTold(openTurn(), line.path("endpoint").asLong(),
@@ -972,14 +993,14 @@
             }
         }
 
-        private void ended(Out attempt, Relay.Outcome outcome, boolean gone, double waitMs, double took,
-                boolean open) {
+        private void ended(Out attempt, Relay.Outcome outcome, boolean gone, boolean confirm, double waitMs,
+                double took, boolean open) {
             if (!inherited.ended(attempt, open)) {
                 return;
             }
             Optional<Held> held = inherited.held(attempt.message());
             if (held.isPresent()) {
-                attemptEnded(held.get(), attempt.attempt(), outcome, gone, waitMs, took, open);
+                attemptEnded(held.get(), attempt.attempt(), outcome, gone, confirm, waitMs, took, open);
             } else {
                 // Its message was over before the handover.
                 event(() -> relay.attemptEnded(openTurn(), new Relay.AttemptEnd(attempt.message(),
@@ -1037,7 +1058,7 @@
         public void gone() {
             Log.line("the old process is gone, with " + inherited.size() + " calls out");
             for (Out attempt : inherited.allOut()) {
-                ended(attempt, Relay.Outcome.BROKEN, false, 0, 0, false);
+                ended(attempt, Relay.Outcome.BROKEN, false, false, 0, 0, false);
             }
             inherited.allOpen().forEach(this::closed);
             List<Intake.Verdict> unanswered = answering.values().stream().flatMap(Deque::stream).toList();
--- /dev/null
+++ b/src/test/java/kestreldeal/ConfirmedEndTest.java
@@ -0,0 +1,66 @@
+package kestreldeal;
+
+import static kestreldeal.MessageClasses.UNSAFE;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Optional;
+import kestreldeal.Relay.Outcome;
+import org.junit.jupiter.api.Test;
+
+/** A message that an answer calls delivered, until the notice that confirms it is heard. */
+class ConfirmedEndTest {
+    private static Bench twoOfOneKey() {
+        Bench b = new Bench().list(1, 10);
+        for (long id = 1; id <= 2; id++) {
+            b.relay.message(b.now, new Relay.Message(id, UNSAFE, 0, Optional.of("key"), 20_000, 1));
+        }
+        b.relay.endTurn(b.now);
+        assertEquals(List.of(1L), b.sent());
+        return b;
+    }
+
+    @Test
+    void theNextOfItsKeyWaitsUntilTheNoticeIsHeard() {
+        Bench b = twoOfOneKey();
+        b.relay.confirming(b.now, 1);
+        b.relay.attemptEnded(b.now, new Relay.AttemptEnd(1, 0, Outcome.DELIVERED, 10, true, 0, false));
+        b.relay.endTurn(b.now);
+        b.until(b.now + 3000);
+        assertEquals(List.of(1L), b.sent(), "its end is not heard yet");
+        b.relay.heard(b.now, 1);
+        b.relay.endTurn(b.now);
+        b.until(b.now + 3000);
+        assertEquals(List.of(1L, 2L), b.sent());
+        assertEquals(List.of(), b.answers, "an answer has ended it");
+    }
+
+    @Test
+    void whatHasLeftItsCallIsNotSentAgain() {
+        Bench b = twoOfOneKey();
+        b.relay.attemptEnded(b.now, new Relay.AttemptEnd(1, 0, Outcome.NOT_SENT, 10, false, 0, true));
+        b.relay.confirming(b.now, 1);
+        b.relay.endTurn(b.now);
+        b.until(b.now + 3000);
+        assertEquals(List.of(1L), b.sent());
+        b.relay.callClosed(b.now, 1);
+        b.relay.endTurn(b.now);
+        b.until(b.now + 3000);
+        assertEquals(List.of(1L), b.sent(), "its notice is still to be heard");
+        b.relay.heard(b.now, 1);
+        b.relay.endTurn(b.now);
+        b.until(b.now + 3000);
+        assertEquals(List.of(1L, 2L), b.sent());
+        assertEquals(List.of(), b.answers);
+    }
+
+    @Test
+    void aMessageThatIsNotKnownIsPassedOver() {
+        Bench b = twoOfOneKey();
+        b.relay.confirming(b.now, 7);
+        b.relay.withdrawn(b.now, 1);
+        b.relay.confirming(b.now, 1);
+        b.relay.endTurn(b.now);
+        assertEquals(List.of(1L), b.sent());
+    }
+}
--- a/src/test/java/kestreldeal/net/JournalTest.java
+++ b/src/test/java/kestreldeal/net/JournalTest.java
@@ -289,6 +289,30 @@
         }
     }
 
+    /** The notice alone would have told a later life that the message was given up. */
+    @Test
+    void aDeliveryThatANoticeConfirmsStaysOneOverRestartsAndCompaction() throws Exception {
+        long deadline = System.currentTimeMillis() + 60_000;
+        try (Journal journal = open()) {
+            journal.confirming(taken(journal, "heard", deadline));
+            journal.confirming(taken(journal, "unheard", deadline));
+            journal.ended(journal.held().iterator().next());
+        }
+        for (int life = 0; life < 3; life++) {
+            try (Journal journal = open()) {
+                for (String id : List.of("heard", "unheard")) {
+                    assertEquals(Optional.of(FinishedMessage.Result.DELIVERED), result(journal, id));
+                }
+                assertEquals(List.of("unheard"), journal.held().stream().map(held -> held.id).toList());
+                assertEquals(Held.Notice.CONFIRMATION, journal.held().iterator().next().owed.orElseThrow());
+                for (long before = 0; journal.size() >= before;) {
+                    before = journal.size();
+                    journal.ended(taken(journal, "filler-" + before, 0), FinishedMessage.Result.DELIVERED);
+                }
+            }
+        }
+    }
+
     @Test
     void endedMessagesAreForgottenOnceTheirIdsCantComeAgain() throws Exception {
         long now = System.currentTimeMillis();
