--- a/src/test/java/kestreldeal/net/SenderProcessFixture.java
+++ b/src/test/java/kestreldeal/net/SenderProcessFixture.java
@@ -40,6 +40,7 @@
             if (request.line().startsWith("POST")) {
                 notices.addAll(request.body().lines().toList());
                 Stub.write(socket, "HTTP/1.1 204 x\r\n\r\n");
+                noticesHeard(request.body().lines().toList());
             }
         });
         List<String> addresses = new ArrayList<>();
@@ -48,11 +49,16 @@
             endpoints.add(endpoint);
             addresses.add(listed(endpoint));
         }
-        Path config = new TestConfig(agent.hostPort()).classes(CLASSES).workers(1).batch(BATCH)
+        Path config = new TestConfig(agent.hostPort()).classes(CLASSES).workers(workers()).batch(BATCH)
                 .known(TestConfig.list(addresses)).write(folder);
         sender = new SenderProcess(folder, config);
     }
 
+    /** So many calls may be out at once. */
+    int workers() {
+        return 1;
+    }
+
     /** The address at which the list has an endpoint. */
     String listed(Stub endpoint) throws IOException {
         return endpoint.hostPort();
@@ -67,6 +73,11 @@
         agent.close();
     }
 
+    /** The platform has answered these notices. */
+    void noticesHeard(List<String> lines) {
+        // For those who keep account of when.
+    }
+
     // ---- endpoints ----
 
     /** Accepts all messages of a call at once. */
