Log each list that is taken, servers' state changes, and failed requests to discovery

The incident's records can't tell by which list a call was decided, or when the sender heard of a drain. Now there is a line for each list (its source, version and size), for each server whose state changes, for each request to discovery that fails (status, how long it took, when the next follows) and for a move of discovery; and the line of an attempt that did not deliver names the version of the list by which its endpoint was chosen.

--- a/src/main/java/kestreldeal/net/Discovery.java
+++ b/src/main/java/kestreldeal/net/Discovery.java
@@ -33,8 +33,12 @@
  */
 final class Discovery {
     private static final String LIST_PATH = "/v1/servers";
+    private static final String DELETED = "DELETED";
     private static final long NANOS_PER_MS = 1_000_000;
 
+    /** Where a list came from. */
+    private enum ListSource { CONFIGURATION, DISCOVERY, OLD_PROCESS }
+
     /** One entry of the list, by the platform's names; one that is gone needs no address. */
     record Entry(String id, InetSocketAddress address, String zone, String kind, long destination,
                  boolean serving, boolean gone, double weight) {
@@ -62,6 +66,7 @@
     private final DiscoveryRetryPolicy policy;
     private final Listener listener;
     private final LongSupplier nanoClock;
+    private final EventLog events = EventLog.ofThisProcess();
     private final ObjectMapper json = JsonMapper.builder().build();
     /** The list as it stands, by id. */
     private final Map<String, JsonNode> list = new LinkedHashMap<>();
@@ -90,10 +95,15 @@
 
     /** Takes over what the configuration knew, if anything, and asks for the rest from now on. */
     void start(Optional<JsonNode> known) {
-        known.ifPresent(list -> take(list, true));
+        known.ifPresent(list -> take(list, true, ListSource.CONFIGURATION));
         request();
     }
 
+    /** The version of discovery's list that this sender holds; -1 as long as discovery has not answered. */
+    long generation() {
+        return generation;
+    }
+
     /** Whether discovery has answered since the start. */
     boolean answered() {
         return generation >= 0;
@@ -109,7 +119,7 @@
     /** Tells the list as it stands, if there is one; discovery's own may be empty. */
     void tell() {
         if (answered() || !list.isEmpty()) {
-            take(list(), true);
+            listener.listChanged(true, entries(list()));
         }
     }
 
@@ -121,12 +131,13 @@
     /** Takes a list from elsewhere, if discovery itself has not answered yet. */
     void inherit(JsonNode other) {
         if (!answered() && other.path("instances").isArray()) {
-            take(other, true);
+            take(other, true, ListSource.OLD_PROCESS);
         }
     }
 
     /** Discovery is at another address: its list is asked for whole, as it may count in another way. */
     void moved(InetSocketAddress to) {
+        events.add("discovery-moved", "address", Endpoints.hostPort(to));
         generation = -1;
         source.moved(to);
         if (retry != null) {
@@ -153,6 +164,7 @@
 
     private void answered(Optional<FullHttpResponse> answer) {
         boolean read = answer.filter(a -> a.status().code() == 200).filter(this::read).isPresent();
+        int status = answer.map(a -> a.status().code()).orElse(0);
         if (answer.filter(a -> a.status().codeClass() == HttpStatusClass.CLIENT_ERROR).isPresent()) {
             // It may not know the version that the watch names: the whole list needs none.
             generation = -1;
@@ -165,7 +177,7 @@
             policy.succeeded();
             continueWatch();
         } else {
-            retryLater();
+            retryLater(status);
         }
     }
 
@@ -185,9 +197,13 @@
     }
 
     /** On a new connection: the kept one may die in the pause without a sign, and take the next request with it. */
-    private void retryLater() {
+    private void retryLater(int status) {
         source.disconnect();
-        retry = loop.schedule(this::request, policy.failed(elapsedMs()), TimeUnit.MILLISECONDS);
+        long tookMs = elapsedMs();
+        long pauseMs = policy.failed(tookMs);
+        events.add("discovery-request-failed", "status", status, "took_ms", tookMs, "next_in_ms", pauseMs,
+                "generation", generation);
+        retry = loop.schedule(this::request, pauseMs, TimeUnit.MILLISECONDS);
     }
 
     private boolean read(FullHttpResponse answer) {
@@ -198,7 +214,7 @@
             }
             generation = list.path("generation").asLong();
             changed = list.path("reset").asBoolean() || !list.path("instances").isEmpty();
-            take(list, list.path("reset").asBoolean());
+            take(list, list.path("reset").asBoolean(), ListSource.DISCOVERY);
             return true;
         } catch (IOException | RuntimeException e) {
             // Whatever is wrong with one list, the next must be asked for: nothing else ever would.
@@ -208,29 +224,52 @@
         }
     }
 
-    private void take(JsonNode news, boolean whole) {
-        List<Entry> entries = new ArrayList<>();
+    private void take(JsonNode news, boolean whole, ListSource source) {
+        Map<String, JsonNode> before = whole ? new LinkedHashMap<>(list) : list;
         if (whole) {
             list.clear();
         }
         for (JsonNode e : news.path("instances")) {
-            try {
-                String id = e.path("instanceId").asText();
-                boolean gone = e.path("lifecycle").asText().equals("DELETED");
-                if (gone) {
-                    list.remove(id);
-                } else {
-                    list.put(id, e);
-                }
-                entries.add(new Entry(id, gone ? null : Config.address(e.path("hostPort").asText()),
-                        e.path("zone").asText(), e.path("machineType").asText(), e.path("cell").asLong(),
-                        e.path("lifecycle").asText().equals("SERVING"), gone, e.path("weight").asDouble()));
-            } catch (BadInput bad) {
-                Log.line("an entry of the list can't be read: " + bad.getMessage());
+            String id = e.path("instanceId").asText();
+            JsonNode earlier = before.get(id);
+            if (earlier != null && !lifecycle(earlier).equals(lifecycle(e))) {
+                events.add("server-state", "endpoint", id, "from", lifecycle(earlier), "to", lifecycle(e));
+            }
+            if (lifecycle(e).equals(DELETED)) {
+                list.remove(id);
+            } else {
+                list.put(id, e);
             }
         }
+        if (whole) {
+            before.keySet().stream().filter(id -> !list.containsKey(id))
+                    .forEach(id -> events.add("server-state", "endpoint", id, "to", "UNLISTED"));
+        }
+        List<Entry> entries = entries(news);
         if (whole || !entries.isEmpty()) {
+            events.add("list", "source", source, "generation", news.path("generation").asLong(-1), "whole", whole,
+                    "entries", entries.size(), "listed", list.size());
             listener.listChanged(whole, entries);
         }
     }
+
+    private static String lifecycle(JsonNode entry) {
+        return entry.path("lifecycle").asText();
+    }
+
+    private static List<Entry> entries(JsonNode news) {
+        List<Entry> entries = new ArrayList<>();
+        for (JsonNode e : news.path("instances")) {
+            try {
+                boolean gone = lifecycle(e).equals(DELETED);
+                entries.add(new Entry(e.path("instanceId").asText(),
+                        gone ? null : Config.address(e.path("hostPort").asText()), e.path("zone").asText(),
+                        e.path("machineType").asText(), e.path("cell").asLong(), lifecycle(e).equals("SERVING"), gone,
+                        e.path("weight").asDouble()));
+            } catch (BadInput bad) {
+                Log.line("an entry of the list can't be read: " + bad.getMessage());
+            }
+        }
+        return entries;
+    }
 }
--- a/src/main/java/kestreldeal/net/Held.java
+++ b/src/main/java/kestreldeal/net/Held.java
@@ -43,6 +43,8 @@
     static final class Attempt {
         final String endpoint;
         final long sentAtMs;
+        /** The version of discovery's list by which the endpoint was chosen; -1 before discovery has answered. */
+        long listGeneration = -1;
         boolean neverRan = true;
 
         Attempt(String endpoint, long sentAtMs) {
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -403,7 +403,9 @@
     public void send(long message, long endpoint, double timeoutMs) {
         Held held = open.get(message);
         int number = held.attempts.size();
-        held.attempts.add(new Held.Attempt(registry.id(endpoint), journal.clock().nowMs()));
+        Held.Attempt attempt = new Held.Attempt(registry.id(endpoint), journal.clock().nowMs());
+        attempt.listGeneration = discovery.generation();
+        held.attempts.add(attempt);
         calls.put(new Out(message, number), endpoints.call(held, number, endpoint, timeoutMs));
     }
 
@@ -516,7 +518,8 @@
             events.add("attempt-ended", "id", call.held.id, "attempt", call.attempt, "endpoint",
                     call.held.attempts.get(call.attempt).endpoint, "outcome", outcome, "cause", report.cause(),
                     "status", report.status(), "messages", report.messages(), "left", report.left(), "over", gone,
-                    "wait_ms", Math.round(waitMs), "took_ms", Math.round(took));
+                    "wait_ms", Math.round(waitMs), "took_ms", Math.round(took), "list",
+                    call.held.attempts.get(call.attempt).listGeneration);
         }
 
         @Override
