--- a/src/test/java/kestreldeal/net/EndedMessageProcessTest.java
+++ b/src/test/java/kestreldeal/net/EndedMessageProcessTest.java
@@ -76,11 +76,11 @@
 
     /** One for each message of the call, in any order: such an answer does not count at the platform in all cases. */
     private void confirmationsAreHeard() throws Exception {
-        Stub.await("both are confirmed", () -> notices.size() >= 2);
+        Stub.await("both are confirmed", () -> agent.notices.size() >= 2);
         handIn("last", "safe");
         awaitAllEnded();
         assertEquals(Set.of("{\"ref\":\"leaving\",\"result\":\"dead\"}", "{\"ref\":\"waiting\",\"result\":\"dead\"}"),
-                Set.copyOf(notices));
-        assertEquals(2, notices.size(), "each once");
+                Set.copyOf(agent.notices));
+        assertEquals(2, agent.notices.size(), "each once");
     }
 }
--- a/src/test/java/kestreldeal/net/SenderProcess.java
+++ b/src/test/java/kestreldeal/net/SenderProcess.java
@@ -1,5 +1,6 @@
 package kestreldeal.net;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -112,6 +113,12 @@
                 && List.of(fields).stream().allMatch(field -> (line + " ").contains(" " + field + " ")));
     }
 
+    /** Sends a signal by its name without SIG; returns when it is sent. */
+    void signal(String name) throws IOException, InterruptedException {
+        Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).inheritIO().start();
+        assertEquals(0, kill.waitFor(), "no process for SIG" + name);
+    }
+
     /** SIGKILL; returns when it has ended. */
     void kill() throws InterruptedException {
         process.destroyForcibly();
--- a/src/test/java/kestreldeal/net/SenderProcessFixture.java
+++ b/src/test/java/kestreldeal/net/SenderProcessFixture.java
@@ -10,7 +10,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -30,28 +29,36 @@
     @TempDir
     Path folder;
     final List<Stub> endpoints = new ArrayList<>();
-    final List<String> notices = new CopyOnWriteArrayList<>();
     SenderProcess sender;
-    private Stub agent;
+    DiscoveryAgent agent;
+    private String known;
 
     @BeforeEach
     void open() throws Exception {
-        agent = new Stub((request, socket) -> {
-            if (request.line().startsWith("POST")) {
-                notices.addAll(request.body().lines().toList());
-                Stub.write(socket, "HTTP/1.1 204 x\r\n\r\n");
-                noticesHeard(request.body().lines().toList());
-            }
-        });
-        List<String> addresses = new ArrayList<>();
-        for (int i = 0; i < 2; i++) {
+        agent = new DiscoveryAgent();
+        agent.whenNoticed(this::noticesHeard);
+        for (int i = 0; i < endpointCount(); i++) {
             Stub endpoint = new Stub(SenderProcessFixture::accept);
             endpoints.add(endpoint);
-            addresses.add(listed(endpoint));
+            agent.list("s-" + i, listed(endpoint), lifecycle(i));
         }
-        Path config = new TestConfig(agent.hostPort()).classes(CLASSES).workers(workers()).batch(BATCH)
-                .known(TestConfig.list(addresses)).write(folder);
-        sender = new SenderProcess(folder, config);
+        known = agent.list();
+        sender = new SenderProcess(folder, configure());
+    }
+
+    /** Writes the configuration, with the list of the beginning and the agent's present address. */
+    Path configure() throws IOException {
+        return new TestConfig(agent.hostPort()).classes(CLASSES).workers(workers()).batch(BATCH).known(known)
+                .write(folder);
+    }
+
+    int endpointCount() {
+        return 2;
+    }
+
+    /** As what the list has an endpoint at the beginning. */
+    String lifecycle(int endpoint) {
+        return DiscoveryAgent.SERVING;
     }
 
     /** So many calls may be out at once. */
--- a/src/test/java/kestreldeal/net/Stub.java
+++ b/src/test/java/kestreldeal/net/Stub.java
@@ -152,6 +152,11 @@
         }
     }
 
+    /** Takes no more connections; those that are open go on. */
+    void refuse() throws IOException {
+        server.close();
+    }
+
     /** Ends its scripts too: one that waited on would fail, and print, in the middle of a later test. */
     @Override
     public void close() throws IOException {
--- a/src/test/java/kestreldeal/net/SystemFaultsProcessTest.java
+++ b/src/test/java/kestreldeal/net/SystemFaultsProcessTest.java
@@ -57,7 +57,7 @@
         handIn("next", "safe");
         awaitAllEnded();
         assertEquals(1, callsWith("delivered"), "sent on after its end");
-        assertEquals(List.of(), notices);
+        assertEquals(List.of(), agent.notices);
     }
 
     @Test
@@ -107,7 +107,7 @@
         sender.start();
         awaitAllEnded();
         assertEquals(1, callsWith("untried"), "given up with no call");
-        assertEquals(List.of(), notices);
+        assertEquals(List.of(), agent.notices);
     }
 
     @Test
@@ -122,7 +122,7 @@
         sender.kill();
         faults.clockAhead(-HOUR_MS);
         sender.start();
-        Stub.await("its notice", () -> !notices.isEmpty());
+        Stub.await("its notice", () -> !agent.notices.isEmpty());
         long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - handedIn);
         assertTrue(tookMs <= BRIEF_MS + LATEST_MS, "its end came after " + tookMs + " ms of " + BRIEF_MS);
     }
