--- a/src/main/java/kestreldeal/Timers.java
+++ b/src/main/java/kestreldeal/Timers.java
@@ -22,6 +22,11 @@
         this.wakeAt = wakeAt;
     }
 
+    /** So early a wake may come. */
+    double marginMs() {
+        return marginMs;
+    }
+
     void add(double at, Runnable action) {
         due.add(new Timer(at, count++, action));
     }
