Call by the list of endpoints only while it is surely the newest, under a lease

Cause: a call went out by whatever list stood, however old. A look at twelve restarts shows "is ready" up to 0.16 s before discovery's first list, and the configuration's list two versions behind. Ruled out there: a stale configuration as such; it was what the process before had last been told.

Change: ListLease. A call needs a check that the agent answered and that was sent no longer ago than the grace allows, less the 0.15 s for which a process may be held up. It is made on demand, and a turn follows its answer. While the agent is silent, which only new connections can prove, calls go by the last list and checks follow one another until it is back. A connection that came up late asks again before its first byte. ListLeasePolicy derives all times from rules.drain_grace_ms. Several requests for the list are out at once now, so EndpointList orders their answers; taken out of Discovery, it also heeds a drain whose entry can't be read otherwise, and a change that does not repeat what stands.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -126,6 +126,8 @@
     private static final double RANK_WORTH = 0.01;
     /** Time worth a fee of one point: about what a message loses in worth when it waits so long. */
     private static final double FEE_MS = 25_000;
+    /** A copy that is due while the list may be out of date is looked at again after this. */
+    private static final double COPY_RECHECK_MS = 10;
     /** Time before the deadline at which a message that is not out is answered. */
     private static final double ANSWER_MARGIN_MS = 5;
 
@@ -140,8 +142,8 @@
     private final Set<Delivery> queue = new LinkedHashSet<>();
     private double clock = Double.NEGATIVE_INFINITY;
     private final RecentEvents firstSends = new RecentEvents(() -> clock, THROTTLE_PERIOD_MS);
-    private final Throttle copies = new Throttle(COPY_BASE, COPY_SHARE);
-    private final Throttle retries = new Throttle(RETRY_BASE, RETRY_SHARE);
+    private final Throttle copies;
+    private final Throttle retries;
     private final Connections connections = new Connections();
     private final KeyOrder keys = new KeyOrder();
     private final Timers timers;
@@ -153,9 +155,15 @@
         this.settings = settings;
         this.actions = actions;
         this.timers = new Timers(CLOCK_MARGIN_MS, actions::wakeAt);
+        this.copies = throttle(COPY_BASE, COPY_SHARE);
+        this.retries = throttle(RETRY_BASE, RETRY_SHARE);
         this.random = new Random(seed);
     }
 
+    private Throttle throttle(double base, double share) {
+        return new Throttle(base, share, THROTTLE_PERIOD_MS, () -> clock, firstSends, timers);
+    }
+
     // ---- events ----
 
     @Override
@@ -187,7 +195,7 @@
         Map<Call, Long> calls = new LinkedHashMap<>();
         return new Memory(targets.values().stream().map(Target::memory).toList(),
                 deliveries.values().stream().map(d -> d.memory(calls)).toList(), keys.rests(),
-                firstSends.count(), copies.extra.count(), retries.extra.count());
+                firstSends.count(), copies.count(), retries.count());
     }
 
     @Override
@@ -195,8 +203,8 @@
         tick(now);
         memory.endpoints().forEach(e -> target(e.entry()).remember(e, takenAt));
         firstSends.restore(memory.firstSends(), clock);
-        copies.extra.restore(memory.copies(), clock);
-        retries.extra.restore(memory.retries(), clock);
+        copies.restore(memory.copies(), clock);
+        retries.restore(memory.retries(), clock);
         Map<Long, Call> calls = new LinkedHashMap<>();
         memory.messages().forEach(m -> remember(m, takenAt, calls));
         memory.keyRests().forEach((key, restIn) -> keys.remember(key, takenAt + restIn));
@@ -439,6 +447,9 @@
                 ranked.add(d);
             }
         }
+        if (ranked.isEmpty() || !actions.mayCall()) {
+            return;
+        }
         ranked.sort(Comparator.comparingDouble((Delivery d) -> -d.rank).thenComparingDouble(d -> d.aimAt));
         for (Delivery d : ranked) {
             if (d.destination.open) {
@@ -522,8 +533,14 @@
     /** The scheduled offset after a send: a copy may join the wave. */
     private void offsetPassed(Delivery d, Attempt attempt, boolean copy) {
         boolean races = attempt.out && d.type.effect() != Effect.UNSAFE && settings.copies() && !copy;
-        if (races && !d.ended && slotsUsed < settings.slots() && copies.allows()) {
-            choose(d, true).ifPresent(target -> send(d, target, true));
+        if (!races || d.ended || slotsUsed >= settings.slots() || !copies.allows()) {
+            return;
+        }
+        Optional<Target> target = choose(d, true);
+        if (target.isPresent() && actions.mayCall()) {
+            send(d, target.get(), true);
+        } else if (target.isPresent()) {
+            timers.add(clock + COPY_RECHECK_MS, () -> offsetPassed(d, attempt, copy));
         }
     }
 
@@ -1243,27 +1260,6 @@
         }
     }
 
-    /** Bounds extra sends by a share of first sends: copies, lest a slow one double the load; new waves. */
-    private final class Throttle {
-        private final double base;
-        private final double share;
-        private final RecentEvents extra = new RecentEvents(() -> clock, THROTTLE_PERIOD_MS);
-
-        Throttle(double base, double share) {
-            this.base = base;
-            this.share = share;
-        }
-
-        void sent() {
-            extra.add();
-            timers.add(clock + THROTTLE_PERIOD_MS + CLOCK_MARGIN_MS, () -> { });
-        }
-
-        boolean allows() {
-            return extra.count() + 1 <= base + share * firstSends.count();
-        }
-    }
-
     /** Messages in order by key: one at a time, as taken, and a rest after an end that may still run. */
     private final class KeyOrder {
         private final Map<String, Line> lines = new LinkedHashMap<>();
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -122,6 +122,14 @@
 
     /** What the module asks of the sender. */
     interface Actions {
+        /**
+         * Whether calls may go out now: not while the list of endpoints may be out of date. Where they may not, a turn
+         * follows once they may. Asked before a turn's first {@link #send}.
+         */
+        default boolean mayCall() {
+            return true;
+        }
+
         /**
          * Start the next attempt of a message, numbered 0, 1, 2 and so on within it. The time-out counts from
          * now. Sends of one turn to one endpoint may share a call, up to the kind's batch.
--- a/src/main/java/kestreldeal/net/Agent.java
+++ b/src/main/java/kestreldeal/net/Agent.java
@@ -83,7 +83,7 @@
         Request mine = new Request(then);
         current = mine;
         mine.timer = Due.in(loop, limitMs, TimeUnit.MILLISECONDS, () -> fail(mine));
-        if (channel != null && isUsable(channel)) {
+        if (isConnected()) {
             send(mine, request);
             return;
         }
@@ -130,6 +130,11 @@
         }
     }
 
+    @Override
+    public boolean isConnected() {
+        return channel != null && isUsable(channel);
+    }
+
     private void fail(Request request) {
         if (current != request) {
             return;
--- a/src/main/java/kestreldeal/net/Config.java
+++ b/src/main/java/kestreldeal/net/Config.java
@@ -21,11 +21,16 @@
  * first. Settings keep their dotted names, so that the adapter and the sender read them in one way.
  */
 record Config(String name, InetSocketAddress listen, Optional<InetSocketAddress> ops,
-              InetSocketAddress discovery, Path state, Path handover, long seed, int sockets, long diskBytes, Relay.Settings settings, List<String> classes,
+              InetSocketAddress discovery, ListLeasePolicy listLease, Path state, Path handover, long seed, int sockets,
+              long diskBytes, Relay.Settings settings, List<String> classes,
               List<String> tenants, List<String> kinds, List<String> zones, int maxOpen, double dialMs,
               Optional<JsonNode> known) {
     /** The journal is read in one piece at the start and files count as memory: more is never used. */
     private static final double MOST_DISK_MB = 12;
+    /** Of deployments that name none. */
+    private static final double DEFAULT_DRAIN_GRACE_MS = 250;
+    /** Where changes of the list have to be asked for; in any other mode they are pushed. */
+    private static final String ASKED_MODE = "ask";
 
     static Config read(Map<String, String> env) throws IOException, BadInput {
         JsonNode json = json(env);
@@ -39,6 +44,8 @@
                 address(env.getOrDefault("GW_LISTEN", json.path("listen").asText())),
                 ops(env.getOrDefault("GW_OPS", json.path("ops").asText(""))),
                 address(env.getOrDefault("GW_DISCOVERY", json.path("discovery").asText())),
+                ListLeasePolicy.of(!settings.textOr("registry_mode", "").equals(ASKED_MODE),
+                        settings.numberOr("rules.drain_grace_ms", DEFAULT_DRAIN_GRACE_MS)),
                 Path.of(required(env, "GW_STATE")),
                 handover(env),
                 seed(json.path("seed").asText("0")),
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -65,6 +65,11 @@
         /** Whether a call that waited for its connection may still go out. */
         boolean mayStart(Call call);
 
+        /** Runs a task once calls may go out by the list of endpoints: at once if they may now. */
+        default void whenListIsCurrent(Runnable task) {
+            task.run();
+        }
+
         /** Its first byte is about to be written: whether it may be. */
         boolean begins(Call call);
 
@@ -443,9 +448,14 @@
             }
         }
 
-        /** One that speaks before it is asked is of no use: what it says later can't be told from an answer. */
+        /** While it came up the list may have changed. */
         private void connected(Connection fresh) {
             fresh.peer = peer;
+            ends.whenListIsCurrent(() -> startOn(fresh));
+        }
+
+        /** One that speaks before it is asked is of no use: what it says later can't be told from an answer. */
+        private void startOn(Connection fresh) {
             if (fresh.isUsable()) {
                 leaveUnless(ends::mayStart);
                 write(fresh);
--- /dev/null
+++ b/src/main/java/kestreldeal/net/ListLease.java
@@ -0,0 +1,199 @@
+package kestreldeal.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Whether calls may go out by the list of endpoints as it stands: only while this sender holds a lease on it. A check
+ * that discovery's agent answers renews the lease; it is made when somebody wants to call and the lease has run out, so
+ * an idle sender makes none. While the agent is silent nothing can be told, and calls go by the last list; but then
+ * checks follow one another, on new connections, so that the agent's return is noticed at once.
+ *
+ * <p>A watch can't do this: it may have fallen silent without a sign, and a request that was made in an outage is lost.
+ */
+final class ListLease {
+    /** Checks that may be out at once; each is waited for until so many later ones could have been made. */
+    static final int MOST_CHECKS = 4;
+    /** How long discovery may wait before it answers a check. */
+    private static final long CHECK_WAIT_MS = 1;
+
+    /** A request to discovery that a reachable agent answers at once. */
+    final class Check {
+        private final long sentNanos = nanos.getAsLong();
+        private final boolean onNewConnection;
+
+        private Check(boolean onNewConnection) {
+            this.onNewConnection = onNewConnection;
+        }
+
+        /** What it asked for was the newest when it was sent. */
+        void answered() {
+            answeredOnce = true;
+            unansweredSince = OptionalLong.empty();
+            confirmedAt = OptionalLong.of(Math.max(confirmedAt.orElse(sentNanos), sentNanos));
+            settle();
+        }
+
+        /** It has failed, or was not answered for as long as a reachable agent may take. */
+        void unanswered() {
+            if (onNewConnection) {
+                silentAt = OptionalLong.of(Math.max(silentAt.orElse(sentNanos), sentNanos));
+            }
+            settle();
+        }
+    }
+
+    private final EventLoop loop;
+    private final LongSupplier nanos;
+    private final ListLeasePolicy policy;
+    private final EndpointList list;
+    private final List<Discovery.Source> connections;
+    /** Those of them that carry a check. */
+    private final List<Discovery.Source> busy = new ArrayList<>();
+    private final List<Runnable> waiting = new ArrayList<>();
+    private boolean answeredOnce;
+    /** When the latest sent of the answered checks was sent. */
+    private OptionalLong confirmedAt = OptionalLong.empty();
+    /** When the first check on a new connection was sent after the last answer. */
+    private OptionalLong unansweredSince = OptionalLong.empty();
+    /** When the latest sent was sent of those checks on new connections that a reachable agent would have answered. */
+    private OptionalLong silentAt = OptionalLong.empty();
+    private OptionalLong lastCheckAt = OptionalLong.empty();
+    private boolean settling;
+
+    /** {@code connections} carry one check at a time each. */
+    ListLease(EventLoop loop, LongSupplier nanos, ListLeasePolicy policy, EndpointList list,
+            List<Discovery.Source> connections) {
+        this.loop = loop;
+        this.nanos = nanos;
+        this.policy = policy;
+        this.list = list;
+        this.connections = List.copyOf(connections);
+    }
+
+    /** Whether calls may go out now; where not, or not for long any more, discovery is being asked. */
+    boolean isValid() {
+        long now = nanos.getAsLong();
+        if (answeredOnce && !policy.expires() || isWithin(now, confirmedAt, policy.leaseMs())) {
+            return true;
+        }
+        checkIfDue(now);
+        return isSilent(now);
+    }
+
+    /** Runs a task once calls may go out, always after the present one. */
+    void whenValid(Runnable task) {
+        waiting.add(task);
+        settleLater(0);
+    }
+
+
+    /** Discovery is at another address: what is known of the old one's silence means nothing. */
+    void moved(InetSocketAddress to) {
+        connections.forEach(connection -> connection.moved(to));
+        confirmedAt = OptionalLong.empty();
+        unansweredSince = OptionalLong.empty();
+        silentAt = OptionalLong.empty();
+        lastCheckAt = OptionalLong.empty();
+    }
+
+    /** The agent has answered nothing for as long as it may take, and did not until just now. */
+    private boolean isSilent(long now) {
+        long patienceMs = answeredOnce ? policy.patienceMs() : policy.startPatienceMs();
+        return unansweredSince.isPresent() && !isWithin(now, unansweredSince, patienceMs)
+                && isWithin(now, silentAt, policy.silenceMs());
+    }
+
+    private static boolean isWithin(long now, OptionalLong since, long ms) {
+        return since.isPresent() && now - since.getAsLong() < TimeUnit.MILLISECONDS.toNanos(ms);
+    }
+
+    private void checkIfDue(long now) {
+        // Before the first answer each request is for the whole list, which may take its time.
+        long pauseMs = answeredOnce ? policy.checkMs() : policy.startPatienceMs() / 2;
+        boolean keptIsSilent = lastCheckAt.isPresent() && unansweredSince.isEmpty()
+                && !isWithin(now, lastCheckAt, policy.patienceMs());
+        if (keptIsSilent || !isWithin(now, lastCheckAt, pauseMs)) {
+            connections.stream().filter(connection -> !busy.contains(connection)).findFirst().ifPresent(this::check);
+        }
+    }
+
+    private void check(Discovery.Source connection) {
+        EndpointList.Query query = list.query();
+        Check check = begin(!connection.isConnected());
+        busy.add(connection);
+        connection.ask(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, query.path(CHECK_WAIT_MS)),
+                MOST_CHECKS * policy.checkMs(), answer -> {
+                    busy.remove(connection);
+                    ended(check, query, answer, connection);
+                });
+    }
+
+    private void ended(Check check, EndpointList.Query query, Optional<FullHttpResponse> answer,
+            Discovery.Source connection) {
+        boolean answered = list.take(query, answer) != EndpointList.Result.UNUSABLE;
+        if (!answered || connection != connections.get(0)) {
+            // One is kept: of several, all might have died without a sign when they are needed.
+            connection.disconnect();
+        }
+        if (answered) {
+            check.answered();
+        } else {
+            check.unanswered();
+        }
+    }
+
+    /** A request is about to be sent that a reachable agent answers at once. */
+    Check begin(boolean onNewConnection) {
+        Check check = new Check(onNewConnection);
+        lastCheckAt = OptionalLong.of(check.sentNanos);
+        if (onNewConnection && unansweredSince.isEmpty()) {
+            unansweredSince = lastCheckAt;
+        }
+        Due.in(loop, policy.patienceMs(), TimeUnit.MILLISECONDS, () -> {
+            if (!isAnswered(check)) {
+                check.unanswered();
+            }
+        });
+        return check;
+    }
+
+    /** An answer to a check that was sent later will do. */
+    private boolean isAnswered(Check check) {
+        return confirmedAt.isPresent() && confirmedAt.getAsLong() >= check.sentNanos;
+    }
+
+    /** Lets go on what waits, or sees to it that this is looked at again. */
+    private void settle() {
+        if (waiting.isEmpty()) {
+            return;
+        }
+        if (isValid()) {
+            List<Runnable> ready = new ArrayList<>(waiting);
+            waiting.clear();
+            ready.forEach(loop::execute);
+        } else {
+            settleLater(policy.patienceMs() / 2);
+        }
+    }
+
+    private void settleLater(long delayMs) {
+        if (!settling) {
+            settling = true;
+            loop.schedule(() -> {
+                settling = false;
+                settle();
+            }, delayMs, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -73,6 +73,10 @@
     private Journal journal;
     private Endpoints endpoints;
     private Discovery discovery;
+    /** Whether calls may go out by the list as it stands. */
+    private ListLease listLease;
+    /** The module has something to send, and a turn follows once it may. */
+    private boolean turnAwaitsList;
     private Notices notices;
     private Intake intake;
     private Ops ops;
@@ -184,8 +188,13 @@
         ops = new Ops(loop, new Orders());
         handover = new Handover(loop, new Estate());
         takeover = new Takeover(loop, config.state(), config.handover(), new Heir());
-        discovery = new Discovery(loop, new Agent(loop, discoveryAddress), new Random(config.seed()),
-                this::listed);
+        EndpointList list = new EndpointList(this::listed, events);
+        List<Discovery.Source> checks = new ArrayList<>();
+        for (int i = 0; i < ListLease.MOST_CHECKS; i++) {
+            checks.add(new Agent(loop, discoveryAddress));
+        }
+        listLease = new ListLease(loop, System::nanoTime, config.listLease(), list, checks);
+        discovery = new Discovery(loop, new Agent(loop, discoveryAddress), new Random(config.seed()), list, listLease);
         discovery.start(config.known());
     }
 
@@ -399,6 +408,21 @@
 
     // ---- what the module asks ----
 
+    @Override
+    public boolean mayCall() {
+        if (listLease.isValid()) {
+            return true;
+        }
+        if (!turnAwaitsList) {
+            turnAwaitsList = true;
+            listLease.whenValid(() -> {
+                turnAwaitsList = false;
+                openTurn();
+            });
+        }
+        return false;
+    }
+
     @Override
     public void send(long message, long endpoint, double timeoutMs) {
         Held held = open.get(message);
@@ -464,6 +488,15 @@
             return relay.mayStart(openTurn(), call.held.number, call.attempt);
         }
 
+        @Override
+        public void whenListIsCurrent(Runnable task) {
+            if (listLease.isValid()) {
+                task.run();
+            } else {
+                listLease.whenValid(task);
+            }
+        }
+
         /** Not before: an attempt whose connection was still coming up at a kill has surely not run. */
         @Override
         public boolean begins(Endpoints.Call call) {
@@ -622,7 +655,7 @@
         event(() -> relay.heard(openTurn(), held.number));
     }
 
-    private void listed(boolean whole, List<Discovery.Entry> entries) {
+    private void listed(boolean whole, List<EndpointList.Entry> entries) {
         if (!owner) {
             return;
         }
@@ -630,12 +663,12 @@
         if (whole) {
             registry.clearList();
         }
-        for (Discovery.Entry e : entries) {
+        for (EndpointList.Entry e : entries) {
             long number = registry.number(e.id());
             registry.list(number, e.destination(), e.gone());
             int kind = Math.max(0, config.kinds().indexOf(e.kind()));
             List<Relay.Kind> kinds = config.settings().kinds();
-            if (e.gone()) {
+            if (e.address() == null) {
                 endpoints.closeIdle(number);
             } else {
                 endpoints.at(number, e.address(), e.serving(), kind,
--- a/src/test/java/kestreldeal/net/AgentTest.java
+++ b/src/test/java/kestreldeal/net/AgentTest.java
@@ -41,6 +41,12 @@
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 
+    /** Watches through an agent, with no lease beside it. */
+    private Discovery discovery(Stub agent, Random random, EndpointList.Listener listener) {
+        return new Discovery(loop, new Agent(loop, agent.address()), random,
+                new EndpointList(listener, EventLog.ofThisProcess()), Optional.empty(), System::nanoTime);
+    }
+
     private static FullHttpRequest request() {
         return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/v1/servers");
     }
@@ -110,7 +116,7 @@
             }
         };
         try (Stub old = new Stub(halves); Stub fresh = new Stub(answers)) {
-            Discovery discovery = new Discovery(loop, new Agent(loop, old.address()), new Random(1),
+            Discovery discovery = discovery(old, new Random(1),
                     (whole, entries) -> entries.forEach(e -> told.add(e.id())));
             loop.execute(() -> discovery.start(Optional.empty()));
             Stub.await("half is written", () -> half.size() == 1);
@@ -178,8 +184,7 @@
     @Test
     void afterARefusedRequestTheNextOneOpensAnotherConnection() throws Exception {
         try (Stub stub = new Stub(Stub.status(503, ""))) {
-            Discovery discovery = new Discovery(loop, new Agent(loop, stub.address()), new Random(1),
-                    (whole, entries) -> { });
+            Discovery discovery = discovery(stub, new Random(1), (whole, entries) -> { });
             loop.execute(() -> discovery.start(Optional.empty()));
             Stub.await("it is asked again", () -> stub.requests.size() == 2);
             assertEquals(1, stub.requests.get(1).connection());
@@ -214,7 +219,7 @@
             }
         };
         try (Stub stub = new Stub(script)) {
-            Discovery discovery = new Discovery(loop, new Agent(loop, stub.address()), draws, (whole, entries) -> {
+            Discovery discovery = discovery(stub, draws, (whole, entries) -> {
                 if (entries.get(0).id().equals("after")) {
                     told.complete(System.nanoTime());
                 }
--- a/src/test/java/kestreldeal/net/DiscoveryRetryTest.java
+++ b/src/test/java/kestreldeal/net/DiscoveryRetryTest.java
@@ -89,11 +89,13 @@
             this.busy = busy;
             this.answersFirst = answersFirst;
             loop.freezeTime();
-            discovery = new Discovery(loop.eventLoop(), this, random, (whole, entries) -> {
+            EndpointList list = new EndpointList((whole, entries) -> {
                 if (toldMs < 0 && entries.get(0).id().equals("after")) {
                     toldMs = nowMs;
                 }
-            }, () -> TimeUnit.MILLISECONDS.toNanos(nowMs));
+            }, EventLog.ofThisProcess());
+            discovery = new Discovery(loop.eventLoop(), this, random, list, Optional.empty(),
+                    () -> TimeUnit.MILLISECONDS.toNanos(nowMs));
         }
 
         @Override
--- a/src/test/java/kestreldeal/net/DiscoveryTest.java
+++ b/src/test/java/kestreldeal/net/DiscoveryTest.java
@@ -79,12 +79,14 @@
                 assertFalse(out, "nothing is out in a pause");
             }
         };
-        return new Discovery(loop.eventLoop(), agent, new Random(seed), (whole, entries) -> {
+        EndpointList list = new EndpointList((whole, entries) -> {
             if (faults-- > 0) {
                 throw new IllegalStateException("a fault while a list is told");
             }
             entries.forEach(e -> listed.add((e.gone() ? "gone " : "") + e.id()));
-        }, () -> TimeUnit.MILLISECONDS.toNanos(now));
+        }, EventLog.ofThisProcess());
+        return new Discovery(loop.eventLoop(), agent, new Random(seed), list, Optional.empty(),
+                () -> TimeUnit.MILLISECONDS.toNanos(now));
     }
 
     private void pass(long ms) {
