Keep over restarts which servers discovery has withdrawn, and read a new configuration until it is whole

Cause of the first: a drain that a process was told of was known to that process alone.

Cause of the second, found beside it: a SIGHUP that came while the file was being replaced left the old address for good, and two close together could set the older address last, as each is heeded on a thread of its own. The file is read again for up to 2 s, one signal after another. The test fails without the repeated reading; the order of two signals is read off the code, not forced.

--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -33,6 +33,8 @@
     private static final int BLOCKS = 3 * 512;
     /** Share of the bound that messages which have ended may take up. */
     private static final int FINISHED_SHARE = 16;
+    /** Share of the bound that endpoints which take no new work may take up. */
+    private static final int WITHDRAWN_SHARE = 32;
 
     private final JournalFile file;
     private final SteadyClock clock;
@@ -49,6 +51,7 @@
     /** What the operators have ordered, which a later life keeps to. */
     private boolean drained;
     private final Set<String> maintained = new LinkedHashSet<>();
+    private final WithdrawnEndpoints withdrawn;
     private long headerBytes;
     private Runnable whenBehind = () -> { };
 
@@ -60,6 +63,7 @@
     Journal(Path folder, long diskBytes, int maxAttempts, JournalFile.Disk disk, TimeSource time) throws IOException {
         this.bound = diskBytes - BLOCKS;
         this.finished = new FinishedMessages(bound / FINISHED_SHARE);
+        this.withdrawn = new WithdrawnEndpoints(bound / WITHDRAWN_SHARE);
         this.messageRoom = (long) maxAttempts * ATTEMPT_ROOM + END_ROOM;
         this.file = new JournalFile(folder.resolve("journal"), folder.resolve("journal.next"), disk);
         // A torn tail would hide all that is appended behind it.
@@ -89,7 +93,7 @@
     /** Takes a message on, or throws: then it must be refused. */
     void taken(Held held) throws IOException {
         byte[] record = JournalRecord.taken(held);
-        long needed = headerBytes + bound / FINISHED_SHARE + liveBytes + record.length + messageRoom * (live.size() + 1L);
+        long needed = headerBytes + bound / FINISHED_SHARE + bound / WITHDRAWN_SHARE + liveBytes + record.length + messageRoom * (live.size() + 1L);
         if (2 * needed > bound) {
             throw new IOException("the journal has no room for another message");
         }
@@ -206,6 +210,21 @@
         return Set.copyOf(maintained);
     }
 
+    /**
+     * Discovery has told whether an endpoint takes new work. That outlasts the process, as the list with which the next
+     * one starts may be older.
+     */
+    void withdrawn(String endpoint, boolean on) {
+        if (withdrawn.set(endpoint, on)) {
+            record(JournalRecord.withdrawn(endpoint, on));
+        }
+    }
+
+    /** Endpoints that take no new work, as discovery told last. */
+    Set<String> withdrawn() {
+        return withdrawn.ids();
+    }
+
     /** The base of the clock and the orders that stand, as a compacted copy begins with them. */
     private byte[] header() {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
@@ -310,12 +329,15 @@
 
     /** What a compacted copy takes up. */
     private long compactedBytes() {
-        return headerBytes + finished.bytes() + liveBytes;
+        return headerBytes + withdrawn.bytes() + finished.bytes() + liveBytes;
     }
 
     private void compact() throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream((int) compactedBytes());
         bytes.write(header());
+        for (String endpoint : withdrawn.ids()) {
+            bytes.write(JournalRecord.withdrawn(endpoint, true));
+        }
         for (Held held : live.values()) {
             bytes.write(JournalRecord.taken(held));
             for (Held.Attempt attempt : held.attempts.subList(0, held.recorded)) {
@@ -369,6 +391,10 @@
             earlierBase = Optional.of(new SteadyClock.Base(in.readUTF(), in.readLong(), in.readLong()));
             return;
         }
+        if (type == JournalRecord.WITHDRAWN) {
+            withdrawn.set(in.readUTF(), in.readBoolean());
+            return;
+        }
         if (type == JournalRecord.DRAINED || type == JournalRecord.MAINTAINED) {
             applyOrder(type, in);
             return;
--- a/src/main/java/kestreldeal/net/JournalRecord.java
+++ b/src/main/java/kestreldeal/net/JournalRecord.java
@@ -26,6 +26,8 @@
     static final int FINISHED = 10;
     /** The zero of the clock by which all times of the records are kept; versions that don't know it pass it over. */
     static final int CLOCK = 11;
+    /** An endpoint takes no new work, or does again; versions that don't know it pass it over. */
+    static final int WITHDRAWN = 12;
     /** Length and checksum. */
     static final int HEAD = 12;
     private static final int USUAL_LENGTH = 128;
@@ -104,7 +106,15 @@
     }
 
     static byte[] maintained(String endpoint, boolean on) {
-        return record(MAINTAINED, 0, out -> {
+        return endpointMark(MAINTAINED, endpoint, on);
+    }
+
+    static byte[] withdrawn(String endpoint, boolean on) {
+        return endpointMark(WITHDRAWN, endpoint, on);
+    }
+
+    private static byte[] endpointMark(int type, String endpoint, boolean on) {
+        return record(type, 0, out -> {
             out.writeUTF(endpoint);
             out.writeBoolean(on);
         });
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -50,6 +50,9 @@
     private static final long WARM_MS = 2300;
     /** Records that the disk did not take are tried again so often. */
     private static final long JOURNAL_RETRY_MS = 100;
+    /** A new configuration that can't be read is read again so often, within the time that SIGHUP leaves. */
+    private static final int CONFIGURATION_READS = 20;
+    private static final long CONFIGURATION_RETRY_MS = 100;
     /** Stands for no message in what passes between two processes. */
     private static final long NO_MESSAGE = -1;
     /** A new version that gets no list in this time takes over with the old process's list. */
@@ -209,6 +212,7 @@
             journal.reserve(state.get().path("numbers").asLong());
         }
         state.ifPresent(s -> discovery.inherit(s.path("list")));
+        discovery.withdraw(journal.withdrawn());
         intake.drain(journal.drained());
         for (String endpoint : journal.maintained()) {
             relay.maintenance(openTurn(), registry.number(endpoint), true);
@@ -280,20 +284,45 @@
         return opsAddress;
     }
 
-    /** The configuration was replaced: of what may change, discovery's address is taken over. */
-    void reconfigure(Map<String, String> env) {
+    /**
+     * The configuration was replaced: of what may change, discovery's address is taken over. Signals that come close
+     * together are heeded on threads of their own: what is read last has to be set last.
+     */
+    synchronized void reconfigure(Map<String, String> env) {
         try {
-            InetSocketAddress to = Config.discovery(env);
+            InetSocketAddress to = readNewDiscovery(env);
             Log.line("discovery is at " + Endpoints.hostPort(to) + " now");
-            loop.execute(() -> {
-                discoveryAddress = to;
-                if (discovery != null) {
-                    discovery.moved(to);
-                    notices.moved(to);
-                }
-            });
+            loop.execute(() -> discoveryMoved(to));
         } catch (BadInput | IOException | IllegalArgumentException e) {
             Log.line("the new configuration can't be read, the old one stands: " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** A file that is just being replaced may be there in part only, or not at all: it is read again for a while. */
+    private static InetSocketAddress readNewDiscovery(Map<String, String> env)
+            throws BadInput, IOException, InterruptedException {
+        for (int left = CONFIGURATION_READS; ; left--) {
+            try {
+                return Config.discovery(env);
+            } catch (BadInput | IOException | IllegalArgumentException e) {
+                if (left == 1) {
+                    throw e;
+                }
+                if (left == CONFIGURATION_READS) {
+                    Log.line("the new configuration can't be read yet: " + e.getMessage());
+                }
+            }
+            TimeUnit.MILLISECONDS.sleep(CONFIGURATION_RETRY_MS);
+        }
+    }
+
+    private void discoveryMoved(InetSocketAddress to) {
+        discoveryAddress = to;
+        if (discovery != null) {
+            discovery.moved(to);
+            notices.moved(to);
         }
     }
 
@@ -656,16 +685,20 @@
     }
 
     private void listed(boolean whole, List<EndpointList.Entry> entries) {
-        if (!owner) {
+        if (!owner || handover.left()) {
             return;
         }
         List<Relay.Endpoint> list = new ArrayList<>();
+        Set<Long> unlisted = new HashSet<>();
         if (whole) {
+            unlisted.addAll(registry.listed());
             registry.clearList();
         }
         for (EndpointList.Entry e : entries) {
             long number = registry.number(e.id());
             registry.list(number, e.destination(), e.gone());
+            unlisted.remove(number);
+            journal.withdrawn(e.id(), !e.serving());
             int kind = Math.max(0, config.kinds().indexOf(e.kind()));
             List<Relay.Kind> kinds = config.settings().kinds();
             if (e.address() == null) {
@@ -677,6 +710,7 @@
             list.add(new Relay.Endpoint(number, e.destination(), kind,
                     Math.max(0, config.zones().indexOf(e.zone())), e.serving(), e.weight()));
         }
+        unlisted.forEach(number -> journal.withdrawn(registry.id(number), true));
         event(() -> relay.endpoints(openTurn(), whole, list));
         if (!ready) {
             begin();
--- a/src/test/java/kestreldeal/net/JournalTest.java
+++ b/src/test/java/kestreldeal/net/JournalTest.java
@@ -41,6 +41,37 @@
         journal.begins(held, held.attempts.size() - 1);
     }
 
+    @Test
+    void endpointsThatTakeNoNewWorkAreKnownToTheNextLife() throws Exception {
+        try (Journal journal = open()) {
+            journal.withdrawn("s-1", true);
+            journal.withdrawn("s-2", true);
+            journal.withdrawn("s-1", false);
+            journal.withdrawn("s-3", false);
+        }
+        try (Journal journal = open()) {
+            assertEquals(List.of("s-2"), List.copyOf(journal.withdrawn()));
+        }
+    }
+
+    /** A list that changes for ever leaves a bounded record, over compactions too, with what was told last. */
+    @Test
+    void endpointsThatTakeNoNewWorkTakeUpABoundedShare() throws Exception {
+        try (Journal journal = open()) {
+            for (int i = 0; i < 20_000; i++) {
+                journal.withdrawn("s-" + i, true);
+                assertTrue(journal.size() <= DISK);
+            }
+            journal.taken(held(journal, 3));
+        }
+        try (Journal journal = open()) {
+            List<String> known = List.copyOf(journal.withdrawn());
+            assertEquals("s-19999", known.get(known.size() - 1));
+            assertTrue(known.size() > 50 && known.size() < 1000, "endpoints: " + known.size());
+            assertEquals(1, journal.held().size());
+        }
+    }
+
     @Test
     void whatWasHeldComesBackWithAllThatHappenedToIt() throws Exception {
         try (Journal journal = open()) {
--- a/src/test/java/kestreldeal/net/SenderProcessFixture.java
+++ b/src/test/java/kestreldeal/net/SenderProcessFixture.java
@@ -24,7 +24,6 @@
             {"name":"safe","aim_ms":8000,"give_up_ms":24000,"repeat":"safe"},
             {"name":"keyed","aim_ms":8000,"give_up_ms":24000,"repeat":"keyed","window_ms":20000},
             {"name":"unsafe","aim_ms":8000,"give_up_ms":24000,"repeat":"unsafe"}""";
-    private static final int BATCH = 20;
 
     @TempDir
     Path folder;
@@ -48,7 +47,7 @@
 
     /** Writes the configuration, with the list of the beginning and the agent's present address. */
     Path configure() throws IOException {
-        return new TestConfig(agent.hostPort()).classes(CLASSES).workers(workers()).batch(BATCH).known(known)
+        return new TestConfig(agent.hostPort()).classes(CLASSES).workers(workers()).batch(batch()).known(known)
                 .write(folder);
     }
 
@@ -66,6 +65,11 @@
         return 1;
     }
 
+    /** One call may carry so many messages. */
+    int batch() {
+        return 20;
+    }
+
     /** The address at which the list has an endpoint. */
     String listed(Stub endpoint) throws IOException {
         return endpoint.hostPort();
--- a/src/test/java/kestreldeal/net/ShutdownTest.java
+++ b/src/test/java/kestreldeal/net/ShutdownTest.java
@@ -234,6 +234,32 @@
         assertFalse(second.isAlive());
     }
 
+    /** The file is just being replaced when the signal comes: what it says counts as told all the same. */
+    @Test
+    void aNewConfigurationThatIsWholeOnlyAfterItsSignalIsTaken() throws Exception {
+        config();
+        Process process = process();
+        Stub.await("discovery is asked", () -> !agent.requests.isEmpty());
+        try (Stub old = agent) {
+            agent = new Stub(this::agent);
+            Files.writeString(folder.resolve("config.json"), "{\"discovery\":\"127.");
+            hangUp(process);
+            Stub.await("a part of it is read", () -> processLog().contains("the new configuration can't be read"));
+            config();
+            Stub.await("the new one is watched", () -> agent.requests.stream().anyMatch(r -> r.line().contains("after=")));
+        }
+        assertTrue(process.isAlive());
+        process.destroyForcibly().waitFor();
+    }
+
+    private String processLog() {
+        try {
+            return Files.readString(processLog);
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     @Test
     void theProcessOutlivesAHangUpAndUsesTheNewDiscoveryAddress() throws Exception {
         config();
