--- a/src/main/java/kestreldeal/net/ListLease.java
+++ b/src/main/java/kestreldeal/net/ListLease.java
@@ -109,9 +109,13 @@
 
     /** The agent has answered nothing for as long as it may take, and did not until just now. */
     private boolean isSilent(long now) {
-        long patienceMs = answeredOnce ? policy.patienceMs() : policy.startPatienceMs();
-        return unansweredSince.isPresent() && !isWithin(now, unansweredSince, patienceMs)
-                && isWithin(now, silentAt, policy.silenceMs());
+        return unansweredSince.isPresent() && !isWithin(now, unansweredSince, policy.patienceMs())
+                && !mayStillStart(now) && isWithin(now, silentAt, policy.silenceMs());
+    }
+
+    /** Whether the first answer is awaited still, and is not late for a process that has just started. */
+    private boolean mayStillStart(long now) {
+        return !answeredOnce && (unansweredSince.isEmpty() || isWithin(now, unansweredSince, policy.startPatienceMs()));
     }
 
     private static boolean isWithin(long now, OptionalLong since, long ms) {
@@ -119,8 +123,8 @@
     }
 
     private void checkIfDue(long now) {
-        // Before the first answer each request is for the whole list, which may take its time.
-        long pauseMs = answeredOnce ? policy.checkMs() : policy.startPatienceMs() / 2;
+        // The first answer is the whole list, which may take its time.
+        long pauseMs = mayStillStart(now) ? policy.startPatienceMs() / 2 : policy.checkMs();
         boolean keptIsSilent = lastCheckAt.isPresent() && unansweredSince.isEmpty()
                 && !isWithin(now, lastCheckAt, policy.patienceMs());
         if (keptIsSilent || !isWithin(now, lastCheckAt, pauseMs)) {
--- a/src/test/java/kestreldeal/net/ListLeaseTest.java
+++ b/src/test/java/kestreldeal/net/ListLeaseTest.java
@@ -142,6 +142,10 @@
         answersAfterMs = OptionalLong.empty();
         long waited = waited();
         assertTrue(waited >= 500 && waited <= 600, "ms: " + waited);
+        for (int i = 0; i < 100; i++) {
+            assertTrue(lease.isValid() || waited() <= 60, "calls go on from then on");
+            pass(20);
+        }
     }
 
     /** Together with the time for which a process may be held up this is within the grace and its slack. */
