Learn of drains while nobody wants to call, and open the watch again as soon as requests prove lost

Cause by their timelines: between two outages the agent had a drain for 0.04 to 0.25 s. The watch was still waiting for an answer that the first outage had swallowed (up to 4 s), and as nobody wanted to call just then there was no check either. In the second outage, or after a kill in it, the sender called the server by the list from before, though it counts as told.

Change: a heartbeat makes the check of the lease every 0.1 s (the lease's length, where changes are pushed). The first answer behind an unanswered check proves that requests were lost, and the watch is sent anew; answers that are only late come in their order and prove nothing.

ListLeaseTest forces both. The soak prints its timeline and the sender's logs where a rule is broken.

--- a/src/main/java/kestreldeal/net/Agent.java
+++ b/src/main/java/kestreldeal/net/Agent.java
@@ -115,11 +115,8 @@
     @Override
     public void moved(InetSocketAddress to) {
         address = to;
-        if (current != null) {
-            fail(current);
-        } else {
-            disconnect();
-        }
+        giveUp();
+        disconnect();
     }
 
     @Override
@@ -130,6 +127,13 @@
         }
     }
 
+    @Override
+    public void giveUp() {
+        if (current != null) {
+            fail(current);
+        }
+    }
+
     @Override
     public boolean isConnected() {
         return channel != null && isUsable(channel);
--- a/src/main/java/kestreldeal/net/Discovery.java
+++ b/src/main/java/kestreldeal/net/Discovery.java
@@ -37,6 +37,9 @@
             return false;
         }
 
+        /** Nobody waits for the request that is out any more: it ends as unanswered, if there is one. */
+        void giveUp();
+
         /** It is at another address from now on; a request that is out is given up, as if unanswered. */
         void moved(InetSocketAddress to);
     }
@@ -69,6 +72,7 @@
         this.list = list;
         this.lease = lease;
         this.nanoClock = nanoClock;
+        lease.ifPresent(held -> held.whenLost(this::requestsLost));
     }
 
     /** Takes over what the configuration knew, if anything, and asks for the rest from now on. */
@@ -130,6 +134,17 @@
         }
     }
 
+    /** Requests that were sent before this time may be lost: if the one that is out is among them, it is sent anew. */
+    private void requestsLost(long sentBefore) {
+        if (retry == null && requestNanos < sentBefore) {
+            source.giveUp();
+        }
+        if (retry != null) {
+            retry.cancel(false);
+            request();
+        }
+    }
+
     /** Before the first answer the whole list is requested: what was known may be of another reckoning. */
     private void request() {
         retry = null;
--- a/src/main/java/kestreldeal/net/ListLease.java
+++ b/src/main/java/kestreldeal/net/ListLease.java
@@ -5,25 +5,31 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 
 /**
  * Whether calls may go out by the list of endpoints as it stands: only while this sender holds a lease on it. A check
- * that discovery's agent answers renews the lease; it is made when somebody wants to call and the lease has run out, so
- * an idle sender makes none. While the agent is silent nothing can be told, and calls go by the last list; but then
- * checks follow one another, on new connections, so that the agent's return is noticed at once.
+ * that discovery's agent answers renews the lease. A heartbeat makes checks also while nobody wants to call: what was told
+ * by then has to be known in an outage that follows. While the agent is silent nothing can be told, and calls go by the
+ * last list; the checks go on, on new connections, so that the agent's return is noticed at once.
  *
  * <p>A watch can't do this: it may have fallen silent without a sign, and a request that was made in an outage is lost.
  */
 final class ListLease {
     /** Checks that may be out at once; each is waited for until so many later ones could have been made. */
     static final int MOST_CHECKS = 4;
+    /** So many checks without an answer are enough to see that some are lost. */
+    private static final int MOST_PENDING = 2 * MOST_CHECKS;
     /** How long discovery may wait before it answers a check. */
     private static final long CHECK_WAIT_MS = 1;
 
@@ -38,6 +44,15 @@
 
         /** What it asked for was the newest when it was sent. */
         void answered() {
+            if (pending.contains(this)) {
+                boolean lost = pending.getFirst() != this;
+                while (pending.removeFirst() != this) {
+                    // Requests are answered in their order, so those before it never will be.
+                }
+                if (lost) {
+                    whenLost.accept(sentNanos);
+                }
+            }
             answeredOnce = true;
             unansweredSince = OptionalLong.empty();
             confirmedAt = OptionalLong.of(Math.max(confirmedAt.orElse(sentNanos), sentNanos));
@@ -61,6 +76,9 @@
     /** Those of them that carry a check. */
     private final List<Discovery.Source> busy = new ArrayList<>();
     private final List<Runnable> waiting = new ArrayList<>();
+    /** Checks without an answer since the last one that had one, in the order in which they were sent. */
+    private final Deque<Check> pending = new ArrayDeque<>();
+    private LongConsumer whenLost = sentBefore -> { };
     private boolean answeredOnce;
     /** When the latest sent of the answered checks was sent. */
     private OptionalLong confirmedAt = OptionalLong.empty();
@@ -70,6 +88,7 @@
     private OptionalLong silentAt = OptionalLong.empty();
     private OptionalLong lastCheckAt = OptionalLong.empty();
     private boolean settling;
+    private Optional<Future<?>> heartbeat = Optional.empty();
 
     /** {@code connections} carry one check at a time each. */
     ListLease(EventLoop loop, LongSupplier nanos, ListLeasePolicy policy, EndpointList list,
@@ -81,6 +100,24 @@
         this.connections = List.copyOf(connections);
     }
 
+    /** Called when requests to discovery are found to be lost: all that were sent before this time may be. */
+    void whenLost(LongConsumer task) {
+        whenLost = task;
+    }
+
+    /** Keeps the lease from now on, where it expires at all. */
+    void start() {
+        if (policy.expires()) {
+            heartbeat = Optional.of(loop.scheduleWithFixedDelay(() -> checkIfDue(nanos.getAsLong()), policy.leaseMs(),
+                    policy.leaseMs(), TimeUnit.MILLISECONDS));
+        }
+    }
+
+    /** Makes no more checks by itself. */
+    void stop() {
+        heartbeat.ifPresent(timer -> timer.cancel(false));
+    }
+
     /** Whether calls may go out now; where not, or not for long any more, discovery is being asked. */
     boolean isValid() {
         long now = nanos.getAsLong();
@@ -105,6 +142,7 @@
         unansweredSince = OptionalLong.empty();
         silentAt = OptionalLong.empty();
         lastCheckAt = OptionalLong.empty();
+        pending.clear();
     }
 
     /** The agent has answered nothing for as long as it may take, and did not until just now. */
@@ -161,6 +199,10 @@
     Check begin(boolean onNewConnection) {
         Check check = new Check(onNewConnection);
         lastCheckAt = OptionalLong.of(check.sentNanos);
+        pending.addLast(check);
+        if (pending.size() > MOST_PENDING) {
+            pending.removeFirst();
+        }
         if (onNewConnection && unansweredSince.isEmpty()) {
             unansweredSince = lastCheckAt;
         }
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -199,6 +199,7 @@
         listLease = new ListLease(loop, System::nanoTime, config.listLease(), list, checks);
         discovery = new Discovery(loop, new Agent(loop, discoveryAddress), new Random(config.seed()), list, listLease);
         discovery.start(config.known());
+        listLease.start();
     }
 
     /** This process owns the journal from now on: what it holds goes on, with what the old process passed. */
@@ -981,6 +982,7 @@
             open.clear();
             byId.clear();
             discovery.stop();
+            listLease.stop();
             intake.leave();
             endpoints.keepNone();
             Log.line("the new version owns all; " + calls.size() + " calls are still out here");
--- a/src/test/java/kestreldeal/net/DiscoveryRetryTest.java
+++ b/src/test/java/kestreldeal/net/DiscoveryRetryTest.java
@@ -124,6 +124,11 @@
             connected = false;
         }
 
+        @Override
+        public void giveUp() {
+            throw new AssertionError("no lease tells of lost requests");
+        }
+
         @Override
         public void moved(InetSocketAddress to) {
             moved = true;
--- a/src/test/java/kestreldeal/net/DiscoveryTest.java
+++ b/src/test/java/kestreldeal/net/DiscoveryTest.java
@@ -74,6 +74,11 @@
                 assertFalse(out, "nothing is out when a request has failed");
             }
 
+            @Override
+            public void giveUp() {
+                throw new AssertionError("no lease tells of lost requests");
+            }
+
             @Override
             public void moved(InetSocketAddress to) {
                 assertFalse(out, "nothing is out in a pause");
--- a/src/test/java/kestreldeal/net/DrainRecord.java
+++ b/src/test/java/kestreldeal/net/DrainRecord.java
@@ -1,11 +1,15 @@
 package kestreldeal.net;
 
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToLongBiFunction;
+import java.util.stream.Collectors;
 
 /**
  * The rule on draining servers, judged from what the stand-ins of a play saw: no call begins later than the grace after
@@ -23,6 +27,9 @@
         }
     }
 
+    private record Event(long at, String what) {
+    }
+
     private record Call(String server, long at) {
     }
 
@@ -30,6 +37,7 @@
     private final List<Span> outages = new ArrayList<>();
     private final List<Span> moves = new ArrayList<>();
     private final List<Call> calls = new ArrayList<>();
+    private final List<Event> timeline = new ArrayList<>();
 
     /** The list has this server as draining, or no longer, for the first time. */
     synchronized void withdrawn(String server, long at) {
@@ -51,6 +59,20 @@
         calls.add(new Call(server, at));
     }
 
+    /** Something that helps to understand a violation has happened. */
+    synchronized void note(long at, String what) {
+        timeline.add(new Event(at, what));
+    }
+
+    /** What was noted, and each drain that was not kept, a line each with its wall-clock time. */
+    synchronized String timeline() {
+        long now = System.nanoTime();
+        Instant wallClock = Instant.now();
+        return timeline.stream().distinct().sorted(Comparator.comparingLong(Event::at))
+                .map(event -> wallClock.minusNanos(now - event.at).truncatedTo(ChronoUnit.MILLIS) + " " + event.what)
+                .collect(Collectors.joining("\n"));
+    }
+
     synchronized int calls() {
         return calls.size();
     }
@@ -84,6 +106,9 @@
             if (late > 0 && late > stalls.applyAsLong(told, call.at)) {
                 violations.add("called " + call.server + " " + TimeUnit.NANOSECONDS.toMillis(call.at - told)
                         + " ms after the drain was told");
+                timeline.add(new Event(changedAt, call.server + " drains"));
+                timeline.add(new Event(told, "the drain of " + call.server + " counts as told"));
+                timeline.add(new Event(call.at, call.server + " is called"));
             }
         }
         return violations;
--- a/src/test/java/kestreldeal/net/ListLeaseTest.java
+++ b/src/test/java/kestreldeal/net/ListLeaseTest.java
@@ -81,12 +81,17 @@
         }
 
         @Override
-        public void moved(InetSocketAddress to) {
-            open = false;
+        public void giveUp() {
             if (out.isPresent()) {
                 end(Optional.empty());
             }
         }
+
+        @Override
+        public void moved(InetSocketAddress to) {
+            open = false;
+            giveUp();
+        }
     }
 
     private FullHttpResponse answer(boolean changes) {
@@ -211,6 +216,27 @@
         assertTrue(nowMs - back <= 100, "ms: " + (nowMs - back));
     }
 
+    /** Told in a moment between two outages, while nobody wanted to call. */
+    @Test
+    void aHeartbeatLearnsWhatIsToldWhileNobodyWantsToCall() {
+        confirm();
+        lease.start();
+        answersAfterMs = OptionalLong.empty();
+        pass(2000);
+        answersAfterMs = OptionalLong.of(1);
+        generation = 2;
+        change = "{\"instanceId\":\"s\",\"lifecycle\":\"DRAINING\",\"hostPort\":\"127.0.0.1:1\"}";
+        pass(110);
+        assertEquals("s", drained.get(0));
+        int checks = asked.size();
+        pass(1000);
+        assertTrue(asked.size() - checks <= 11, "checks in 1 s: " + (asked.size() - checks));
+        lease.stop();
+        checks = asked.size();
+        pass(1000);
+        assertEquals(checks, asked.size());
+    }
+
     @Test
     void afterALongPauseTheSilenceOfBeforeCountsForNothing() {
         confirm();
@@ -223,6 +249,25 @@
         assertFalse(lease.isValid(), "the agent may be back by now");
     }
 
+    /** What an outage has swallowed is known to be lost with the first answer behind it; what is only late is not. */
+    @Test
+    void lostRequestsAreToldOfAndLateAnswersAreNot() {
+        List<Long> lost = new ArrayList<>();
+        lease.whenLost(sentBefore -> lost.add(TimeUnit.NANOSECONDS.toMillis(sentBefore)));
+        confirm();
+        lease.start();
+        answersAfterMs = OptionalLong.of(180);
+        pass(1000);
+        assertEquals(List.of(), lost);
+        answersAfterMs = OptionalLong.empty();
+        pass(1000);
+        answersAfterMs = OptionalLong.of(1);
+        long back = nowMs;
+        pass(150);
+        assertEquals(1, lost.size());
+        assertTrue(lost.get(0) >= back, "told ms: " + lost.get(0) + " of " + back);
+    }
+
     /** Answers that come later than the patience are heeded all the same. */
     @Test
     void aSlowAgentIsHeard() {
--- a/src/test/java/kestreldeal/net/ListSoakTest.java
+++ b/src/test/java/kestreldeal/net/ListSoakTest.java
@@ -198,12 +198,15 @@
 
     private void outage(Random random, boolean withKill) throws Exception {
         long from = agent.fallSilent();
+        drains.note(from, "discovery falls silent");
         if (withKill) {
             pause(random.nextInt(300));
             killAndStart();
         }
         pause(200 + random.nextInt(LONGEST_OUTAGE_MS));
-        drains.outage(from, agent.comeBack());
+        long to = agent.comeBack();
+        drains.note(to, "discovery is back");
+        drains.outage(from, to);
     }
 
     private void move() throws Exception {
@@ -216,6 +219,7 @@
 
     private void one(Fault fault, Random random) throws Exception {
         met.merge(fault, 1, Integer::sum);
+        drains.note(System.nanoTime(), fault.toString());
         switch (fault) {
             case KILL -> killAndStart();
             case TERM -> {
@@ -277,7 +281,11 @@
         System.out.println("seed " + seed + ": " + met + ", " + drains.withdrawals() + " drains, " + drains.calls()
                 + " calls, " + taken.size() + " messages taken");
         assertTrue(taken.size() > 20 && drains.withdrawals() > 3, "too little happened to mean anything");
-        assertEquals(List.of(), drains.violations(stalls::nanosWithin), "seed " + seed);
+        List<String> violations = drains.violations(stalls::nanosWithin);
+        if (!violations.isEmpty()) {
+            System.out.println(drains.timeline() + "\n" + sender.logs());
+        }
+        assertEquals(List.of(), violations, "seed " + seed);
         Stub.await("each message that was taken on ends", () -> ended.containsAll(taken));
     }
 }
--- a/src/test/java/kestreldeal/net/SenderProcess.java
+++ b/src/test/java/kestreldeal/net/SenderProcess.java
@@ -95,14 +95,27 @@
 
     /** The whole lines that this life has logged so far. */
     String log() {
+        String text = read(logFile());
+        return text.substring(0, text.lastIndexOf('\n') + 1);
+    }
+
+    private static String read(Path file) {
         try {
-            String text = Files.readString(logFile());
-            return text.substring(0, text.lastIndexOf('\n') + 1);
+            return Files.readString(file);
         } catch (IOException e) {
             throw new AssertionError(e);
         }
     }
 
+    /** What all lives have logged, one after another. */
+    String logs() {
+        StringBuilder all = new StringBuilder();
+        for (int i = 1; i <= life; i++) {
+            all.append(read(folder.resolve("log-" + i)));
+        }
+        return all.toString();
+    }
+
     void awaitLog(String what, Predicate<String> line) throws InterruptedException {
         Stub.await(what, () -> log().lines().anyMatch(line));
     }
