Take no failed connect of this machine for the agent's silence; heed no changes without their list

A connect that fails here (EADDRNOTAVAIL, no free socket) was taken for a silent agent if no kept connection was left, so calls went by the last list while the agent had a newer one: forced by DrainProcessTest with connects that fail for a moment, which fails without this. Such a failure proves nothing for 2 s. Changes that came while the whole list was being asked for anew were passed over, yet renewed the lease: now they are unusable (EndpointListTest, which expected the former).

--- a/src/main/java/kestreldeal/Throttle.java
+++ b/src/main/java/kestreldeal/Throttle.java
@@ -3,8 +3,8 @@
 import java.util.function.DoubleSupplier;
 
 /**
- * Bounds extra sends by a share of the first sends of the last period: copies, lest a slow endpoint double the load, and
- * new waves of refused messages.
+ * Bounds extra sends by a share of the first sends of the last period: copies, lest a slow endpoint double the load,
+ * and new waves of refused messages.
  */
 final class Throttle {
     private final double base;
--- a/src/main/java/kestreldeal/net/Agent.java
+++ b/src/main/java/kestreldeal/net/Agent.java
@@ -17,7 +17,9 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -40,6 +42,7 @@
     private final Bootstrap bootstrap;
     private Channel channel;
     private Request current;
+    private boolean failedHere;
 
     private final class Request {
         private final Consumer<Optional<FullHttpResponse>> then;
@@ -82,6 +85,7 @@
                 .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
         Request mine = new Request(then);
         current = mine;
+        failedHere = false;
         mine.timer = Due.in(loop, limitMs, TimeUnit.MILLISECONDS, () -> fail(mine));
         if (isConnected()) {
             send(mine, request);
@@ -89,6 +93,7 @@
         }
         disconnect();
         bootstrap.connect(address).addListener((ChannelFuture f) -> {
+            failedHere = current == mine && !f.isSuccess() && isFailureHere(f.cause());
             if (current != mine || !f.isSuccess() || !isUsable(f.channel())) {
                 request.release();
                 f.channel().close();
@@ -100,6 +105,16 @@
         });
     }
 
+    /** A peer that refuses, is unreachable or does not answer is another matter. */
+    private static boolean isFailureHere(Throwable cause) {
+        return !(cause instanceof ConnectException || cause instanceof NoRouteToHostException);
+    }
+
+    @Override
+    public boolean failedHere() {
+        return failedHere;
+    }
+
     /** Whether nothing has come over it that nobody asked for, not even its end. */
     private static boolean isUsable(Channel connection) {
         return connection.isActive() && !((UnreadInputChannel) connection).hasUnreadInput();
--- a/src/main/java/kestreldeal/net/DescriptorBudget.java
+++ b/src/main/java/kestreldeal/net/DescriptorBudget.java
@@ -29,7 +29,7 @@
     private static final int FILES = 5;
     /** For clients, for operators, and for a new version of this sender, with its connection. */
     private static final int LISTENERS = 4;
-    /** To discovery and for notices: the one in use, and those that were given up while they came up; and for checks. */
+    /** To discovery and for notices: the one in use, and those that were given up while they came up; for checks. */
     private static final int AGENT_CONNECTIONS = 6 + ListLease.MOST_CHECKS;
     private static final int RESERVED_BESIDES_JVM = FILES + LISTENERS + AGENT_CONNECTIONS
             + Ops.MOST_CONNECTIONS + 2 * ACCEPT_BURST;
--- a/src/main/java/kestreldeal/net/Discovery.java
+++ b/src/main/java/kestreldeal/net/Discovery.java
@@ -40,6 +40,11 @@
         /** Nobody waits for the request that is out any more: it ends as unanswered, if there is one. */
         void giveUp();
 
+        /** Whether the last request failed on this machine, before it could be sent: that tells nothing of the agent. */
+        default boolean failedHere() {
+            return false;
+        }
+
         /** It is at another address from now on; a request that is out is given up, as if unanswered. */
         void moved(InetSocketAddress to);
     }
@@ -115,7 +120,7 @@
         }
     }
 
-    /** An earlier process was told that these endpoints drain or are gone: that holds until discovery itself answers. */
+    /** An earlier process was told that these endpoints drain or are gone: that holds until discovery answers. */
     void withdraw(Set<String> endpoints) {
         list.withdraw(endpoints);
     }
@@ -174,7 +179,7 @@
             check.ifPresent(ListLease.Check::answered);
         } else {
             retryLater(answer.map(a -> a.status().code()).orElse(0));
-            check.ifPresent(ListLease.Check::unanswered);
+            check.ifPresent(failed -> failed.failed(source.failedHere()));
         }
     }
 
--- a/src/main/java/kestreldeal/net/EndpointList.java
+++ b/src/main/java/kestreldeal/net/EndpointList.java
@@ -172,7 +172,8 @@
         boolean whole = query.isWhole() || news.path(RESET).asBoolean();
         long answered = news.path(GENERATION).asLong(UNKNOWN);
         boolean readable = news.path(GENERATION).isIntegralNumber() && news.path(INSTANCES).isArray();
-        if (!readable || !whole && answered < query.after()) {
+        boolean buildsOnList = whole || isDiscoverys() && answered >= query.after();
+        if (!readable || !buildsOnList) {
             forgetGeneration();
             return Result.UNUSABLE;
         }
@@ -187,10 +188,6 @@
 
     /** Whether a newer answer was taken before. A whole list may count anew, so it may have a lower version. */
     private boolean isOvertaken(Query query, long answered, boolean whole) {
-        if (!isDiscoverys()) {
-            // Changes are of no use without the list that they build on.
-            return !whole;
-        }
         return answered < generation && (!whole || query.number() < latestTaken);
     }
 
--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -93,7 +93,8 @@
     /** Takes a message on, or throws: then it must be refused. */
     void taken(Held held) throws IOException {
         byte[] record = JournalRecord.taken(held);
-        long needed = headerBytes + bound / FINISHED_SHARE + bound / WITHDRAWN_SHARE + liveBytes + record.length + messageRoom * (live.size() + 1L);
+        long reserved = headerBytes + bound / FINISHED_SHARE + bound / WITHDRAWN_SHARE;
+        long needed = reserved + liveBytes + record.length + messageRoom * (live.size() + 1L);
         if (2 * needed > bound) {
             throw new IOException("the journal has no room for another message");
         }
--- a/src/main/java/kestreldeal/net/ListLease.java
+++ b/src/main/java/kestreldeal/net/ListLease.java
@@ -19,9 +19,9 @@
 
 /**
  * Whether calls may go out by the list of endpoints as it stands: only while this sender holds a lease on it. A check
- * that discovery's agent answers renews the lease. A heartbeat makes checks also while nobody wants to call: what was told
- * by then has to be known in an outage that follows. While the agent is silent nothing can be told, and calls go by the
- * last list; the checks go on, on new connections, so that the agent's return is noticed at once.
+ * that discovery's agent answers renews the lease. A heartbeat makes checks also while nobody wants to call: what was
+ * told by then has to be known in an outage that follows. While the agent is silent nothing can be told, and calls go
+ * by the last list; the checks go on, on new connections, so that the agent's return is noticed at once.
  *
  * <p>A watch can't do this: it may have fallen silent without a sign, and a request that was made in an outage is lost.
  */
@@ -37,6 +37,7 @@
     final class Check {
         private final long sentNanos = nanos.getAsLong();
         private final boolean onNewConnection;
+        private boolean failedHere;
 
         private Check(boolean onNewConnection) {
             this.onNewConnection = onNewConnection;
@@ -59,9 +60,17 @@
             settle();
         }
 
+        /** There will be no answer; {@code here}: since this machine could not make the connection. */
+        void failed(boolean here) {
+            failedHere = here;
+            unanswered();
+        }
+
         /** It has failed, or was not answered for as long as a reachable agent may take. */
-        void unanswered() {
-            if (onNewConnection) {
+        private void unanswered() {
+            boolean provesNothing = failedHere
+                    && isWithin(nanos.getAsLong(), unansweredSince, ListLeasePolicy.FAILURE_HERE_MS);
+            if (onNewConnection && !provesNothing) {
                 silentAt = OptionalLong.of(Math.max(silentAt.orElse(sentNanos), sentNanos));
             }
             settle();
@@ -134,7 +143,6 @@
         settleLater(0);
     }
 
-
     /** Discovery is at another address: what is known of the old one's silence means nothing. */
     void moved(InetSocketAddress to) {
         connections.forEach(connection -> connection.moved(to));
@@ -184,6 +192,7 @@
     private void ended(Check check, EndpointList.Query query, Optional<FullHttpResponse> answer,
             Discovery.Source connection) {
         boolean answered = list.take(query, answer) != EndpointList.Result.UNUSABLE;
+        boolean here = connection.failedHere();
         if (!answered || connection != connections.get(0)) {
             // One is kept: of several, all might have died without a sign when they are needed.
             connection.disconnect();
@@ -191,7 +200,7 @@
         if (answered) {
             check.answered();
         } else {
-            check.unanswered();
+            check.failed(here);
         }
     }
 
--- a/src/main/java/kestreldeal/net/ListLeasePolicy.java
+++ b/src/main/java/kestreldeal/net/ListLeasePolicy.java
@@ -5,9 +5,9 @@
  *
  * <p>Where changes are pushed, a change counts as told as soon as discovery's agent has it, and calls to a server that
  * drains have to cease within the grace of the settings. The budget is that grace with its slack, less the time for
- * which the process may be held up between its decision and its write. A call goes out at most the budget after the last
- * moment at which the list was surely the newest: the moment at which a check was <em>sent</em> that has been answered,
- * or that a reachable agent would have answered.
+ * which the process may be held up between its decision and its write. A call goes out at most the budget after the
+ * last moment at which the list was surely the newest: the moment at which a check was <em>sent</em> that has been
+ * answered, or that a reachable agent would have answered.
  *
  * <p>Where changes are asked for, the list stands once discovery has answered: the watch keeps the time limits there.
  *
@@ -32,7 +32,13 @@
      */
     private static final long START_PATIENCE_MS = 500;
 
-    /** For a deployment whose changes are pushed or asked for, and where calls to a draining server may last so long. */
+    /**
+     * This machine may fail to make connections for a moment, which tells nothing of the agent. Where it lasts longer
+     * calls go by the last list, lest no message be delivered over the connections that are there.
+     */
+    static final long FAILURE_HERE_MS = 2000;
+
+    /** For a deployment whose changes are pushed or asked for; calls to a draining server have to cease in that time. */
     static ListLeasePolicy of(boolean pushed, double drainGraceMs) {
         double budgetMs = Math.max(LEAST_BUDGET_MS, drainGraceMs + SLACK_MS - HELD_UP_MS);
         return new ListLeasePolicy(pushed, (long) (budgetMs * 2 / 3), (long) (budgetMs / 2), (long) (budgetMs / 3),
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -50,9 +50,6 @@
     private static final long WARM_MS = 2300;
     /** Records that the disk did not take are tried again so often. */
     private static final long JOURNAL_RETRY_MS = 100;
-    /** A new configuration that can't be read is read again so often, within the time that SIGHUP leaves. */
-    private static final int CONFIGURATION_READS = 20;
-    private static final long CONFIGURATION_RETRY_MS = 100;
     /** Stands for no message in what passes between two processes. */
     private static final long NO_MESSAGE = -1;
     /** A new version that gets no list in this time takes over with the old process's list. */
@@ -291,7 +288,7 @@
      */
     synchronized void reconfigure(Map<String, String> env) {
         try {
-            InetSocketAddress to = readNewDiscovery(env);
+            InetSocketAddress to = ConfigReload.readDiscovery(env);
             Log.line("discovery is at " + Endpoints.hostPort(to) + " now");
             loop.execute(() -> discoveryMoved(to));
         } catch (BadInput | IOException | IllegalArgumentException e) {
@@ -301,24 +298,6 @@
         }
     }
 
-    /** A file that is just being replaced may be there in part only, or not at all: it is read again for a while. */
-    private static InetSocketAddress readNewDiscovery(Map<String, String> env)
-            throws BadInput, IOException, InterruptedException {
-        for (int left = CONFIGURATION_READS; ; left--) {
-            try {
-                return Config.discovery(env);
-            } catch (BadInput | IOException | IllegalArgumentException e) {
-                if (left == 1) {
-                    throw e;
-                }
-                if (left == CONFIGURATION_READS) {
-                    Log.line("the new configuration can't be read yet: " + e.getMessage());
-                }
-            }
-            TimeUnit.MILLISECONDS.sleep(CONFIGURATION_RETRY_MS);
-        }
-    }
-
     private void discoveryMoved(InetSocketAddress to) {
         discoveryAddress = to;
         if (discovery != null) {
@@ -555,9 +534,10 @@
             boolean confirm = call.report().wasPartlyLeft();
             Runnable here = () -> attemptEnded(call.held, call.attempt, outcome, gone, confirm, waitMs, took, open);
             if (handover.leaving()) {
-                handover.tell(Link.line("ended").put("message", call.held.number).put("attempt", call.attempt)
-                        .put("outcome", outcome.name()).put("gone", gone).put("confirm", confirm).put("waitMs", waitMs).put("tookMs", took)
-                        .put("open", open), here);
+                ObjectNode line = Link.line("ended").put("message", call.held.number).put("attempt", call.attempt)
+                        .put("outcome", outcome.name()).put("gone", gone).put("confirm", confirm)
+                        .put("waitMs", waitMs).put("tookMs", took).put("open", open);
+                handover.tell(line, here);
             } else {
                 here.run();
             }
--- a/src/test/java/kestreldeal/Bench.java
+++ b/src/test/java/kestreldeal/Bench.java
@@ -37,6 +37,10 @@
     final Relay relay;
     Consumer<Sent> onSend = s -> { };
     boolean strict;
+    /** The list of endpoints is the newest: calls may go out. */
+    boolean mayCall = true;
+    /** How often the module asked and was told to wait. */
+    int heldBack;
     boolean heardAtOnce = true;
     double listedRate;
     double now;
@@ -213,6 +217,12 @@
         }
     }
 
+    @Override
+    public boolean mayCall() {
+        heldBack += mayCall ? 0 : 1;
+        return mayCall;
+    }
+
     @Override
     public void send(long message, long endpoint, double timeoutMs) {
         int attempt = attempts.merge(message, 1, Integer::sum) - 1;
--- /dev/null
+++ b/src/test/java/kestreldeal/ListLeaseGateTest.java
@@ -0,0 +1,56 @@
+package kestreldeal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What the module does while calls may not go out, as the list of endpoints may be out of date. */
+class ListLeaseGateTest {
+    private static final int SAFE = MessageClasses.SAFE;
+
+    private final Bench bench = new Bench().list(1, 10, 11);
+
+    @Test
+    void nothingIsSentUntilCallsMayGoOutAndThenByTheListOfThen() {
+        bench.mayCall = false;
+        bench.take(1, SAFE, 1);
+        assertEquals(List.of(), bench.sends);
+        assertEquals(1, bench.heldBack);
+        bench.entry(10, 1, 0, 0, false);
+        bench.mayCall = true;
+        bench.relay.endTurn(bench.now);
+        assertEquals(List.of(11L), bench.sends.stream().map(Bench.Sent::endpoint).toList());
+    }
+
+    @Test
+    void nobodyIsAskedWhereNothingWaits() {
+        bench.mayCall = false;
+        bench.relay.endTurn(bench.now);
+        assertEquals(0, bench.heldBack);
+    }
+
+    /** A message whose time is up is answered all the same. */
+    @Test
+    void finalAnswersDoNotWait() {
+        bench.mayCall = false;
+        bench.take(1, SAFE, 1);
+        bench.until(bench.now + MessageClasses.CLASSES.get(SAFE).deadlineMs());
+        assertEquals(1, bench.answers.size());
+        assertEquals(List.of(), bench.sends);
+    }
+
+    @Test
+    void aCopyThatIsDueIsSentOnceCallsMayGoOut() {
+        bench.take(1, SAFE, 1);
+        bench.mayCall = false;
+        double due = bench.now + MessageClasses.CLASSES.get(SAFE).aimMs() / 2;
+        bench.until(due + 50);
+        assertEquals(1, bench.sends.size());
+        assertTrue(bench.heldBack > 0);
+        bench.mayCall = true;
+        bench.until(due + 100);
+        assertEquals(2, bench.sends.size());
+    }
+}
--- a/src/test/java/kestreldeal/net/DiscoveryAgent.java
+++ b/src/test/java/kestreldeal/net/DiscoveryAgent.java
@@ -87,6 +87,11 @@
         return System.nanoTime();
     }
 
+    /** Closes all connections that are open; it answers on new ones. */
+    void closeConnections() throws IOException {
+        stub.closeConnections();
+    }
+
     /** An address that it has left: what is open there goes on until it is closed. */
     record Address(Stub stub) {
         void closeAfter(long ms) {
--- a/src/test/java/kestreldeal/net/DrainProcessTest.java
+++ b/src/test/java/kestreldeal/net/DrainProcessTest.java
@@ -80,6 +80,25 @@
         assertEquals(1, callsTo(1));
     }
 
+    /** That this machine can make no connection for a moment says nothing of the agent, which has the change by then. */
+    @Test
+    void connectsThatFailHereAreNoSilenceOfTheAgent() throws Exception {
+        SystemFaults faults = new SystemFaults(folder, sender);
+        sender.start();
+        handIn("first", "safe");
+        awaitAllEnded();
+        faults.connectsFail();
+        agent.closeConnections();
+        changePlaces();
+        TimeUnit.MILLISECONDS.sleep(GRACE_MS);
+        handIn("late", "safe");
+        awaitAtMost(GRACE_MS, () -> callsTo(0) > 1);
+        faults.connectsMended();
+        awaitAllEnded();
+        assertEquals(1, callsTo(0), "new work was sent to a draining server");
+        assertEquals(1, callsTo(1));
+    }
+
     /** The configuration's list is older than what the sender was told before it was killed. */
     @Test
     void whatAnEarlierProcessWasToldHoldsWhileDiscoveryIsSilent() throws Exception {
--- a/src/test/java/kestreldeal/net/Stub.java
+++ b/src/test/java/kestreldeal/net/Stub.java
@@ -152,6 +152,13 @@
         }
     }
 
+    /** Closes all connections that are open; new ones are taken. */
+    void closeConnections() throws IOException {
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
     /** Takes no more connections; those that are open go on. */
     void refuse() throws IOException {
         server.close();
@@ -162,8 +169,6 @@
     public void close() throws IOException {
         server.close();
         serving.forEach(Thread::interrupt);
-        for (Socket socket : sockets) {
-            socket.close();
-        }
+        closeConnections();
     }
 }
--- a/src/test/java/kestreldeal/net/SystemFaults.java
+++ b/src/test/java/kestreldeal/net/SystemFaults.java
@@ -16,6 +16,7 @@
     private static final long BUILD_S = 60;
     private static final int ENOSPC = 28;
     private static final int EIO = 5;
+    private static final int EADDRNOTAVAIL = 99;
 
     private final Path control;
     private final Map<String, Long> settings = new TreeMap<>();
@@ -55,6 +56,17 @@
         set("write-errno", EIO);
     }
 
+    /** No connection can be made from here, for want of a local address. */
+    void connectsFail() throws IOException {
+        set("connect-errno", EADDRNOTAVAIL);
+    }
+
+    /** Connections can be made again. */
+    void connectsMended() throws IOException {
+        settings.remove("connect-errno");
+        write();
+    }
+
     /** The disk is well again. */
     void diskMended() throws IOException {
         settings.keySet().removeAll(java.util.List.of("write-errno", "write-room", "truncate-errno"));
--- a/src/test/resources/system-faults.c
+++ b/src/test/resources/system-faults.c
@@ -1,11 +1,12 @@
 /*
- * Preloaded into a sender by tests: steps its wall clock, and fails what it writes to its journal.
+ * Preloaded into a sender by tests: steps its wall clock, and fails its writes to the journal and its connects.
  *
  * The file that FAULTS_CONTROL names holds lines "name value", read at each call:
  *   clock-ms N        the wall clock is N ms ahead of the machine's
  *   write-errno N     writes to the journal fail with this errno
  *   write-room N      with write-errno: so many bytes are written before the first failure
  *   truncate-errno N  so does cutting the journal
+ *   connect-errno N   no connection can be made
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -14,6 +15,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/time.h>
 #include <time.h>
@@ -107,6 +109,19 @@
     return real(fd, length);
 }
 
+int connect(int fd, const struct sockaddr *address, socklen_t length) {
+    static int (*real)(int, const struct sockaddr *, socklen_t);
+    if (!real) {
+        real = dlsym(RTLD_NEXT, "connect");
+    }
+    long error = setting("connect-errno");
+    if (error != 0) {
+        errno = (int) error;
+        return -1;
+    }
+    return real(fd, address, length);
+}
+
 int clock_gettime(clockid_t clock, struct timespec *time) {
     static int (*real)(clockid_t, struct timespec *);
     if (!real) {
