Close what the scripted test server accepts while it is being closed

Only Stub's serving thread writes that answer, so the connection outlived close(): accept() had returned it, but it was not yet in the set that close() goes through. A close of the server socket doesn't reach it. The sender was ruled out: it wrote on a connection that was truly open.

Change: Stub closes what it accepts after close() has begun. The test waits until the sender has seen the end of the connection, in place of relying on one pass of the event loop. It asserts as before, and also the reason of the close.

Measured: StubTest forces the order with a server socket that returns from accept() only after close(): it fails without the change (read timed out after 10 s) and passes with it.

--- a/src/test/java/kestreldeal/net/EndpointListWaitTest.java
+++ b/src/test/java/kestreldeal/net/EndpointListWaitTest.java
@@ -28,6 +28,7 @@
     /** What goes on once the list is the newest. */
     private final BlockingQueue<Runnable> waiting = new LinkedBlockingQueue<>();
     private final BlockingQueue<Outcome> ended = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Endpoints.CloseReason> closed = new LinkedBlockingQueue<>();
     private volatile boolean drains;
     private Stub server;
     private Endpoints endpoints;
@@ -50,6 +51,11 @@
             public void ended(Endpoints.Call call, Outcome outcome, boolean gone, double waitMs, boolean open) {
                 ended.add(outcome);
             }
+
+            @Override
+            public void connectionClosed(long endpoint, Endpoints.CloseReason reason, boolean underRequest) {
+                closed.add(reason);
+            }
         });
         inLoop(() -> {
             endpoints.at(ENDPOINT, server.address(), true, 0, 1);
@@ -121,8 +127,8 @@
     void aConnectionThatDiesMeanwhileCountsAsNeverMade() throws Exception {
         Runnable task = callThatWaits(LONG_MS);
         server.close();
-        // The loop reads the end of the connection before the task that is due behind it.
-        loop.submit(() -> Due.next(loop, task)).syncUninterruptibly();
+        assertEquals(Endpoints.CloseReason.PEER, closed.poll(30, TimeUnit.SECONDS));
+        goOn(task);
         assertEquals(Outcome.UNREACHABLE, end());
     }
 }
--- a/src/test/java/kestreldeal/net/Stub.java
+++ b/src/test/java/kestreldeal/net/Stub.java
@@ -32,17 +32,26 @@
         void come(Message request, Socket socket) throws Exception;
     }
 
+    private static final int BACKLOG = 50;
+
     final List<Message> requests = new CopyOnWriteArrayList<>();
     private final ServerSocket server;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     /** Threads that run scripts. */
     private final Set<Thread> serving = ConcurrentHashMap.newKeySet();
     private volatile Script script;
+    private volatile boolean closed;
     private int connections;
 
     Stub(Script script) throws IOException {
+        this(script, new ServerSocket());
+    }
+
+    /** On a server socket of the test's own, which is not bound yet. */
+    Stub(Script script, ServerSocket server) throws IOException {
         this.script = script;
-        this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.server = server;
+        server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
         daemon(this::accept);
     }
 
@@ -69,6 +78,10 @@
             while (true) {
                 Socket socket = server.accept();
                 sockets.add(socket);
+                if (closed) {
+                    // Taken just before the server was closed, and too late to be closed with the others.
+                    socket.close();
+                }
                 int number = connections++;
                 daemon(() -> serve(socket, number));
             }
@@ -167,6 +180,7 @@
     /** Ends its scripts too: one that waited on would fail, and print, in the middle of a later test. */
     @Override
     public void close() throws IOException {
+        closed = true;
         server.close();
         serving.forEach(Thread::interrupt);
         closeConnections();
--- a/src/test/java/kestreldeal/net/StubTest.java
+++ b/src/test/java/kestreldeal/net/StubTest.java
@@ -1,7 +1,10 @@
 package kestreldeal.net;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -29,4 +32,35 @@
             assertTrue(interrupted.await(10, TimeUnit.SECONDS), "the script waits on");
         }
     }
+
+    @Test
+    void aConnectionThatIsAcceptedWhileItClosesIsClosedToo() throws Exception {
+        CountDownLatch accepted = new CountDownLatch(1);
+        CountDownLatch isClosed = new CountDownLatch(1);
+        ServerSocket server = new ServerSocket() {
+            @Override
+            public Socket accept() throws IOException {
+                Socket socket = super.accept();
+                accepted.countDown();
+                awaitUninterruptibly(isClosed);
+                return socket;
+            }
+        };
+        Stub stub = new Stub(Stub.status(200, ""), server);
+        try (Socket client = new Socket(stub.address().getAddress(), stub.address().getPort())) {
+            accepted.await();
+            stub.close();
+            isClosed.countDown();
+            client.setSoTimeout(10_000);
+            assertEquals(-1, client.getInputStream().read(), "the end of the connection");
+        }
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) throws IOException {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
 }
