Reproduce calls that go out against a wait which had already arrived (red)

Fault: a call is decided and written in the pass of the event loop in which its trigger was read. An answer that arrived earlier may be read later in that pass, or be told behind the decision, and a hold-up between decision and write isn't noticed (Endpoints.Exchange.start, startOn, write; Sender.endTurn).

--- a/src/test/java/kestreldeal/net/SenderProcess.java
+++ b/src/test/java/kestreldeal/net/SenderProcess.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -132,6 +133,25 @@
         assertEquals(0, kill.waitFor(), "no process for SIG" + name);
     }
 
+    /** SIGSTOP; returns when all its threads stand still. SIGCONT lets it go on. */
+    void suspend() throws IOException, InterruptedException {
+        signal("STOP");
+        Stub.await("all threads stand still", this::isSuspended);
+    }
+
+    private boolean isSuspended() {
+        try (DirectoryStream<Path> threads = Files.newDirectoryStream(Path.of("/proc", "" + process.pid(), "task"))) {
+            for (Path thread : threads) {
+                if (!read(thread.resolve("status")).contains("\nState:\tT")) {
+                    return false;
+                }
+            }
+            return true;
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     /** SIGKILL; returns when it has ended. */
     void kill() throws InterruptedException {
         process.destroyForcibly();
