Read all that has arrived before a call is written, and check the call again then

Class: as in the incident, acting on knowledge without knowing how old it is; here the knowledge lies in this process's own sockets.

Change: InputBarrier holds a call back until the loop has read once more, checks then by Relay.mayStart and the list's lease whether it may go, on kept connections too, and has the loop read again where recording the call took over 20 ms (the protocol lets calls through for 100 ms). A loop whose passes are all long goes on after four. mayStart opens no turn any more: it changes nothing.

--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -65,8 +65,8 @@
     void waitTold(double now, long endpoint, double waitMs);
 
     /**
-     * Whether an attempt that has waited for its connection may go out now: a wait told since, a drain, or the end
-     * of the time in which it may be repeated, may stand against it. One that may not ends as not sent.
+     * Whether an attempt may go out now, asked just before its first byte: a wait told since its decision, a drain, or
+     * the end of the time in which it may be repeated, may stand against it. One that may not ends as not sent.
      */
     boolean mayStart(double now, long message, int attempt);
 
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -62,7 +62,7 @@
     private static final int LONGEST_BODY = 64 * 1024;
 
     interface Ends {
-        /** Whether a call that waited for its connection may still go out. */
+        /** Whether a call may still go out, by all that is known now. */
         boolean mayStart(Call call);
 
         /** Runs a task once calls may go out by the list of endpoints: at once if they may now. */
@@ -126,6 +126,7 @@
     private final EventLoop loop;
     private final LongSupplier nanos;
     private final Ends ends;
+    private final InputBarrier inputBarrier;
     private final Bootstrap bootstrap;
     private final long idleNanos;
     /** The same at kinds with small connection tables: all senders together may idle as long as one elsewhere. */
@@ -154,6 +155,7 @@
         this.loop = loop;
         this.nanos = nanos;
         this.ends = ends;
+        this.inputBarrier = new InputBarrier(loop, System::nanoTime);
         this.idleNanos = (long) (keepAliveMs * IDLE_SHARE * 1e6);
         this.crowdedNanos = idleNanos / Math.max(1, senders);
         this.mostIdle = mostIdle;
@@ -195,11 +197,11 @@
         return call;
     }
 
-    /** The turn is over: what it asked for goes out. */
+    /** The turn is over: what it asked for goes out, unless something that has arrived by now forbids it. */
     void flush() {
         for (Exchange exchange : gathered) {
             exchange.peer.gathering = null;
-            exchange.start();
+            inputBarrier.whenRead(exchange::start);
         }
         gathered.clear();
     }
@@ -300,6 +302,8 @@
         private Exchange exchange;
         /** Its end is found. */
         private boolean done;
+        /** It is recorded that its first byte may be out. */
+        private boolean begun;
         /** Nobody waits for more of it: it has timed out or is cancelled. */
         private boolean left;
         /** Its end was told while its exchange was out. */
@@ -319,6 +323,11 @@
             return report;
         }
 
+        private boolean begins() {
+            begun = begun || ends.begins(this);
+            return begun;
+        }
+
         /** An answer that is just being read, in however many reads, is read on for a moment. */
         private void timedOut() {
             long now = System.nanoTime();
@@ -418,6 +427,7 @@
         }
 
         private void start() {
+            leaveUnless(ends::mayStart);
             if (nobodyWaits()) {
                 return;
             }
@@ -448,19 +458,19 @@
             }
         }
 
-        /** While it came up the list may have changed. */
+        /** While it came up the list may have changed, and what forbids the call may have arrived. */
         private void connected(Connection fresh) {
             fresh.peer = peer;
-            ends.whenListIsCurrent(() -> startOn(fresh));
+            ends.whenListIsCurrent(() -> inputBarrier.whenRead(() -> startOn(fresh)));
         }
 
         /** One that speaks before it is asked is of no use: what it says later can't be told from an answer. */
-        private void startOn(Connection fresh) {
-            if (fresh.isUsable()) {
+        private void startOn(Connection on) {
+            if (on.isUsable()) {
                 leaveUnless(ends::mayStart);
-                write(fresh);
+                write(on);
             } else {
-                fresh.close(CloseReason.UNUSABLE);
+                on.close(CloseReason.UNUSABLE);
                 interrupted(Interruption.CONNECT_FAILED);
             }
         }
@@ -471,11 +481,18 @@
         }
 
         private void write(Connection on) {
-            leaveUnless(call -> !call.held.endRead && ends.begins(call));
+            leaveUnless(call -> !call.held.endRead && call.begins());
             if (nobodyWaits()) {
                 on.rest();
-                return;
+            } else if (inputBarrier.isRecent()) {
+                writeRequest(on);
+            } else {
+                // Recording the calls took so long that what forbids them may have arrived meanwhile.
+                inputBarrier.whenRead(() -> startOn(on));
             }
+        }
+
+        private void writeRequest(Connection on) {
             connection = on;
             on.begin(this);
             on.channel.writeAndFlush(request()).addListener(f -> {
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -383,12 +383,21 @@
     private double openTurn() {
         if (!turnOpen) {
             turnOpen = true;
-            clock = (System.nanoTime() - startNanos) / 1e6;
+            clock = elapsedMs();
             loop.execute(this::endTurn);
         }
         return clock;
     }
 
+    /** For questions that change nothing, so that no turn has to follow. */
+    private double now() {
+        return turnOpen ? clock : elapsedMs();
+    }
+
+    private double elapsedMs() {
+        return (System.nanoTime() - startNanos) / 1e6;
+    }
+
     private void endTurn() {
         try {
             if (!frozen) {
@@ -494,7 +503,7 @@
     private final class Ends implements Endpoints.Ends {
         @Override
         public boolean mayStart(Endpoints.Call call) {
-            return relay.mayStart(openTurn(), call.held.number, call.attempt);
+            return listLease.isValid() && relay.mayStart(now(), call.held.number, call.attempt);
         }
 
         @Override
--- a/src/test/java/kestreldeal/net/ToldWaitOrderTest.java
+++ b/src/test/java/kestreldeal/net/ToldWaitOrderTest.java
@@ -45,6 +45,8 @@
     /** Used on the loop: what is done while the call with this id is recorded as begun. */
     private Runnable whileOtherBegins = () -> { };
     private boolean waitIsTold;
+    /** Used on the loop: calls of which it was asked whether they may start, which is done with the answer at once. */
+    private int askedToStart;
     private Stub teller;
     private Endpoints endpoints;
 
@@ -54,6 +56,7 @@
         endpoints = new Endpoints(loop, DIAL_MS, 15_000, 1, 4, new PermissiveEnds() {
             @Override
             public boolean mayStart(Endpoints.Call call) {
+                askedToStart++;
                 return !waitIsTold;
             }
 
@@ -126,7 +129,10 @@
         Socket out = callThatIsOut();
         try (FullListener listener = new FullListener()) {
             at(OTHER, listener.address());
+            int askedBefore = loop.submit(() -> askedToStart).get();
             loop.submit(() -> call("other", OTHER)).sync();
+            Stub.await("the connection is being made",
+                    () -> loop.submit(() -> askedToStart).syncUninterruptibly().getNow() > askedBefore);
             holdLoop();
             listener.acceptNext();
             Stub.write(out, TOLD_WAIT);
@@ -167,6 +173,7 @@
 
     /** Has no room for further connections until it accepts: the next one comes up some time later. */
     private static final class FullListener implements AutoCloseable {
+        private static final int ACCEPT_TIMEOUT_MS = 30_000;
         private static final int LEAST_BACKLOG = 1;
         /** The system queues one connection more than the backlog. */
         private static final int QUEUED = LEAST_BACKLOG + 1;
@@ -175,6 +182,7 @@
         private final List<Socket> sockets = new ArrayList<>();
 
         FullListener() throws IOException {
+            server.setSoTimeout(ACCEPT_TIMEOUT_MS);
             for (int i = 0; i < QUEUED; i++) {
                 sockets.add(new Socket(address().getAddress(), address().getPort()));
             }
