Force the orders of three tests at the second question whether a call may start

Cause: it is asked now before a connection is made, and again once that is up. Three tests hang their scripts on the first question and mean the second, or the reading of the loop.

Change: RestartTest and ShutdownTest act on the second question; EndpointsTest acts where the loop reads that a connection is up. What they assert is unchanged. In ShutdownTest the loop is now held up in a task, no longer in its reading, while the answer arrives.

--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -49,6 +49,8 @@
     private final BlockingQueue<End> ends = new LinkedBlockingQueue<>();
     private final Set<String> barred = ConcurrentHashMap.newKeySet();
     private volatile Runnable beforeStart = () -> { };
+    /** Done while the loop reads, once a connection is up. */
+    private volatile Runnable whenConnected = () -> { };
     private volatile Runnable beforeWrite = () -> { };
     private volatile boolean slow;
     private final BlockingQueue<UnreadInputChannel> dialled = new LinkedBlockingQueue<>();
@@ -79,6 +81,12 @@
             return !barred.contains(call.held.id);
         }
 
+        @Override
+        public void whenListIsCurrent(Runnable task) {
+            whenConnected.run();
+            task.run();
+        }
+
         @Override
         public boolean begins(Endpoints.Call call) {
             beforeWrite.run();
@@ -632,7 +640,7 @@
         Endpoints.Call first = out(timeoutMs);
         stub.script(Stub.status(200, ""));
         // Told while the loop reads, as the second connection is up: nothing else is read until this returns.
-        beforeStart = () -> {
+        whenConnected = () -> {
             answer(sides.get(0));
             while (System.nanoTime() < first.startedNanos + (timeoutMs + 5) * 1e6) {
                 Thread.onSpinWait();
--- a/src/test/java/kestreldeal/net/RestartTest.java
+++ b/src/test/java/kestreldeal/net/RestartTest.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import kestreldeal.Relay;
@@ -58,8 +59,9 @@
     @Test
     void anUnsafeMessageWhoseCallNeverBeganIsSentInTheNextLife() throws Exception {
         CountDownLatch asked = new CountDownLatch(1);
+        AtomicInteger questions = new AtomicInteger();
         beforeEvent = (event, arguments) -> {
-            if (event.equals("mayStart")) {
+            if (event.equals("mayStart") && questions.incrementAndGet() == 2) {
                 // Its connection is up, and nothing is written: the process is as good as gone from here on.
                 asked.countDown();
                 awaitLatch(killed);
--- a/src/test/java/kestreldeal/net/ShutdownTest.java
+++ b/src/test/java/kestreldeal/net/ShutdownTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import kestreldeal.Relay;
 import org.junit.jupiter.api.Test;
@@ -143,11 +144,12 @@
         Thread drain = new Thread(sender::drain);
         AtomicLong begun = new AtomicLong();
         CompletableFuture<Boolean> endedBefore = new CompletableFuture<>();
+        AtomicInteger questions = new AtomicInteger();
         beforeEvent = (event, arguments) -> {
             if (event.equals("closing")) {
                 begun.set(System.nanoTime());
-            } else if (event.equals("mayStart")) {
-                // The loop is reading: a connection for the second message is up. The first is answered meanwhile.
+            } else if (event.equals("mayStart") && questions.incrementAndGet() == 2) {
+                // A connection for the second message is up. The first is answered while the loop is held up.
                 answerAll();
                 while (System.nanoTime() - begun.get() < (closingMs + 100) * 1_000_000) {
                     Thread.onSpinWait();
