Let a call that waited for the reading of input wait for the list as well, not end unsent

Ruled out: the wait rule and drains, none was told.

Change: after the reading of input a call waits for the lease as its connection does, and is withheld only by what is known against it.

Checks: EndpointListWaitTest has the call wait before its connection is made too (a call that ended there would never reach the second wait); EndpointsTest's hook acts at the second wait, while the loop reads. Assertions unchanged.

--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -201,7 +201,7 @@
     void flush() {
         for (Exchange exchange : gathered) {
             exchange.peer.gathering = null;
-            inputBarrier.whenRead(exchange::start);
+            inputBarrier.whenRead(() -> ends.whenListIsCurrent(exchange::start));
         }
         gathered.clear();
     }
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -503,7 +503,7 @@
     private final class Ends implements Endpoints.Ends {
         @Override
         public boolean mayStart(Endpoints.Call call) {
-            return listLease.isValid() && relay.mayStart(now(), call.held.number, call.attempt);
+            return relay.mayStart(now(), call.held.number, call.attempt);
         }
 
         @Override
--- a/src/test/java/kestreldeal/net/EndpointListWaitTest.java
+++ b/src/test/java/kestreldeal/net/EndpointListWaitTest.java
@@ -73,7 +73,10 @@
         return loop.submit(task).syncUninterruptibly().getNow();
     }
 
-    /** Makes a call; what it returns goes on with it once its connection is up and the list is the newest. */
+    /**
+     * Makes a call, which waits for the list before its connection is made, and again once that is up; what it returns
+     * goes on with it then.
+     */
     private Runnable callThatWaits(double timeoutMs) throws InterruptedException {
         Held held = new Held(0, "m", "order", "t", Optional.empty(), Optional.empty(), 7, 0, new byte[5]);
         inLoop(() -> {
@@ -81,6 +84,7 @@
             endpoints.flush();
             return null;
         });
+        goOn(waiting.poll(30, TimeUnit.SECONDS));
         return waiting.poll(30, TimeUnit.SECONDS);
     }
 
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -49,8 +49,8 @@
     private final BlockingQueue<End> ends = new LinkedBlockingQueue<>();
     private final Set<String> barred = ConcurrentHashMap.newKeySet();
     private volatile Runnable beforeStart = () -> { };
-    /** Done while the loop reads, once a connection is up. */
-    private volatile Runnable whenConnected = () -> { };
+    /** Done before a call goes to look for a connection, and while the loop reads that a new one is up. */
+    private volatile Runnable whenListNeeded = () -> { };
     private volatile Runnable beforeWrite = () -> { };
     private volatile boolean slow;
     private final BlockingQueue<UnreadInputChannel> dialled = new LinkedBlockingQueue<>();
@@ -83,7 +83,7 @@
 
         @Override
         public void whenListIsCurrent(Runnable task) {
-            whenConnected.run();
+            whenListNeeded.run();
             task.run();
         }
 
@@ -640,7 +640,11 @@
         Endpoints.Call first = out(timeoutMs);
         stub.script(Stub.status(200, ""));
         // Told while the loop reads, as the second connection is up: nothing else is read until this returns.
-        whenConnected = () -> {
+        AtomicInteger waits = new AtomicInteger();
+        whenListNeeded = () -> {
+            if (waits.incrementAndGet() != 2) {
+                return;
+            }
             answer(sides.get(0));
             while (System.nanoTime() < first.startedNanos + (timeoutMs + 5) * 1e6) {
                 Thread.onSpinWait();
