Keep the stray bytes of the answer property test where they were forced

A call looks for a connection one pass of the loop after its flush now, so the test waited for a dial that could not begin, and stray bytes on a resting connection were read before the call came to it: both moments were no longer played.

Change: EndpointClient runs a script when the next call is about to look for a connection; the stray bytes on resting connections are written there, and the wait for an accepted connection is queued behind the dial. What is checked is unchanged.

--- a/src/test/java/kestreldeal/net/EndpointAnswerPropertyTest.java
+++ b/src/test/java/kestreldeal/net/EndpointAnswerPropertyTest.java
@@ -141,7 +141,7 @@
             }
             client.inLoop(() -> {
                 if (step.moment() == Moment.RESTING_UNREAD) {
-                    endpoint.strayOnAll(step.before().bytes());
+                    client.beforeNextStart(() -> endpoint.strayOnAll(step.before().bytes()));
                 }
                 if (step.moment() == Moment.AT_ACCEPT) {
                     startUnderStray(ids, timeoutMs);
@@ -156,8 +156,10 @@
         private void startUnderStray(List<String> ids, long timeoutMs) {
             client.dropIdle();
             int before = endpoint.beginStrayAtAccept();
+            Runnable afterDial = () -> endpoint.endStrayAtAccept(before, ACCEPT_MS);
+            // A dial queues its connect, and does so after this question: one task more is behind it.
+            client.beforeNextStart(() -> client.nextInLoop(() -> client.nextInLoop(afterDial)));
             client.start(ids, timeoutMs);
-            client.nextInLoop(() -> endpoint.endStrayAtAccept(before, ACCEPT_MS));
         }
 
         private void check(int number, Step step, int place, EndpointClient.End end, List<Double> waits) {
--- a/src/test/java/kestreldeal/net/EndpointClient.java
+++ b/src/test/java/kestreldeal/net/EndpointClient.java
@@ -30,6 +30,8 @@
     private final BlockingQueue<End> ends = new LinkedBlockingQueue<>();
     private final List<Double> waits = new CopyOnWriteArrayList<>();
     private volatile int written;
+    /** Used on the loop. */
+    private Runnable beforeNextStart = () -> { };
 
     EndpointClient(EventLoop loop, InetSocketAddress address) {
         this.loop = loop;
@@ -50,6 +52,11 @@
         loop.execute(task);
     }
 
+    /** Runs this once, on the loop that has just read, when the next call is about to look for a connection or to dial. */
+    void beforeNextStart(Runnable task) {
+        beforeNextStart = task;
+    }
+
     /** Returns once the loop has read, and done what followed from it. */
     void readAll() {
         for (int turn = 0; turn < 3; turn++) {
@@ -107,6 +114,14 @@
         return waits;
     }
 
+    @Override
+    public boolean mayStart(Endpoints.Call call) {
+        Runnable task = beforeNextStart;
+        beforeNextStart = () -> { };
+        task.run();
+        return true;
+    }
+
     @Override
     public void ended(Endpoints.Call call, Outcome outcome, boolean gone, double waitMs, boolean open) {
         ends.add(new End(call.held.id, outcome, gone, waitMs));
