--- a/src/main/java/kestreldeal/net/Warmup.java
+++ b/src/main/java/kestreldeal/net/Warmup.java
@@ -34,6 +34,9 @@
     private static final int ENDPOINTS = 12;
     /** Messages that stand in the module when its state is passed on. */
     private static final int STANDING = 20;
+    private static final long JOURNAL_LEAST_BYTES = 200_000;
+    /** Twice what {@link #STANDING} messages of each of two lives need for each attempt that they may have. */
+    private static final long JOURNAL_BYTES_PER_ATTEMPT = 25_000;
     private static final byte[] BODY = new byte[200];
 
     private final Config config;
@@ -178,7 +181,7 @@
         Path folder = Files.createTempDirectory(config.handover().getParent(), "warm");
         try {
             for (int life = 0; life < 2; life++) {
-                try (Journal journal = new Journal(folder, 200_000, config.settings().maxAttempts())) {
+                try (Journal journal = new Journal(folder, journalBytes(), config.settings().maxAttempts())) {
                     for (int i = 0; i < STANDING * 10 && mayStep(); i++) {
                         Held held = new Held(journal.nextNumber(), "id" + i, "class", "", Optional.of("key"),
                                 Optional.of("thread"), 1, 1, BODY);
@@ -199,6 +202,11 @@
         }
     }
 
+    /** Room for the messages of both lives: the journal keeps some for each attempt that they may have. */
+    private long journalBytes() {
+        return Math.max(JOURNAL_LEAST_BYTES, JOURNAL_BYTES_PER_ATTEMPT * config.settings().maxAttempts());
+    }
+
     private void client(int round) {
         EmbeddedChannel client = new EmbeddedChannel();
         client.pipeline().addLast(new Intake(loop, 4, new Desk()).pipeline());
--- a/src/test/java/kestreldeal/net/EventLogProcessTest.java
+++ b/src/test/java/kestreldeal/net/EventLogProcessTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.net.Socket;
 import org.junit.jupiter.api.Test;
@@ -52,4 +53,11 @@
         sender.awaitEvent("notice-owed", "id=failed", "class=unsafe", "bounced=false", "attempts=1");
         sender.awaitEvent("notice-heard", "id=failed");
     }
+
+    /** The journal of the warm-up has to hold messages with as many tries as the settings allow. */
+    @Test
+    void aSenderWhoseMessagesMayHaveManyTriesWarmsUp() throws Exception {
+        sender.start();
+        assertFalse(sender.log().contains("no warm-up"), sender.log());
+    }
 }
