--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -1,9 +1,7 @@
 package kestreldeal;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -145,7 +143,7 @@
     private final Throttle copies;
     private final Throttle retries;
     private final Connections connections = new Connections();
-    private final KeyOrder keys = new KeyOrder();
+    private final KeyOrder keys;
     private final Timers timers;
     private int slotsUsed;
     private long turn;
@@ -158,6 +156,7 @@
         this.copies = throttle(COPY_BASE, COPY_SHARE);
         this.retries = throttle(RETRY_BASE, RETRY_SHARE);
         this.random = new Random(seed);
+        this.keys = new KeyOrder(settings.keyRestMs(), () -> clock, timers);
     }
 
     private Throttle throttle(double base, double share) {
@@ -224,7 +223,7 @@
             keys.taken(d);
         }
         m.attempts().forEach(a -> d.attempts.add(new Attempt(d, a, takenAt, calls)));
-        for (int i = 0; i < d.out + d.openCalls; i++) {
+        for (int i = 0; i < d.callsOut(); i++) {
             keys.attemptSent(d);
         }
         if (d.ended) {
@@ -282,7 +281,9 @@
         for (EarlierAttempt earlier : attempts) {
             d.attempts.add(new Attempt(Optional.ofNullable(targets.get(earlier.endpoint())), earlier));
         }
-        keys.resumed(d);
+        if (d.attempts.stream().anyMatch(a -> a.mayHaveRun)) {
+            keys.rest(d);
+        }
         giveUpInTime(d);
         if (!d.ended) {
             d.destination.resumed(d);
@@ -618,7 +619,7 @@
     // ---- parts ----
 
     /** A message and its wave. */
-    private final class Delivery {
+    private final class Delivery implements KeyOrder.Item {
         final Message message;
         final MessageClass type;
         final Destination destination;
@@ -656,6 +657,16 @@
                     attempts.stream().map(a -> a.memory(calls)).toList());
         }
 
+        @Override
+        public Optional<String> orderKey() {
+            return type.inOrder() ? message.key() : Optional.empty();
+        }
+
+        @Override
+        public int callsOut() {
+            return out + openCalls;
+        }
+
         boolean isOutAt(Target target) {
             return attempts.stream().anyMatch(a -> a.out && a.target.filter(t -> t == target).isPresent());
         }
@@ -1259,73 +1270,4 @@
             sure &= suspect.isPresent();
         }
     }
-
-    /** Messages in order by key: one at a time, as taken, and a rest after an end that may still run. */
-    private final class KeyOrder {
-        private final Map<String, Line> lines = new LinkedHashMap<>();
-
-        private static final class Line {
-            final Deque<Delivery> waiting = new ArrayDeque<>();
-            double restUntil = Double.NEGATIVE_INFINITY;
-            int out;
-        }
-
-        private Optional<Line> line(Delivery d) {
-            return d.type.inOrder() ? d.message.key().map(lines::get) : Optional.empty();
-        }
-
-        void taken(Delivery d) {
-            if (d.type.inOrder()) {
-                d.message.key().ifPresent(key -> lines.computeIfAbsent(key, k -> new Line()).waiting.add(d));
-            }
-        }
-
-        /** What was out in an earlier life may run on, so its key rests. */
-        void resumed(Delivery d) {
-            if (d.attempts.stream().anyMatch(a -> a.mayHaveRun)) {
-                line(d).ifPresent(l -> l.restUntil = clock + settings.keyRestMs());
-                timers.add(clock + settings.keyRestMs(), () -> drop(d));
-            }
-        }
-
-        boolean mayGo(Delivery d) {
-            return line(d).map(l -> l.waiting.peek() == d && l.out == d.out + d.openCalls
-                    && l.restUntil <= clock).orElse(true);
-        }
-
-        Map<String, Double> rests() {
-            return lines.entrySet().stream().filter(e -> e.getValue().restUntil > clock)
-                    .collect(Collectors.toMap(Map.Entry::getKey, e -> e.getValue().restUntil - clock));
-        }
-
-        void remember(String key, double restUntil) {
-            lines.computeIfAbsent(key, k -> new Line()).restUntil = restUntil;
-            timers.add(restUntil, () -> { });
-        }
-
-        void attemptSent(Delivery d) {
-            line(d).ifPresent(l -> l.out++);
-        }
-
-        void attemptEnded(Delivery d, Outcome outcome) {
-            line(d).ifPresent(l -> {
-                l.out--;
-                if (outcome.mayHaveRun() && outcome != Outcome.ERROR) {
-                    l.restUntil = clock + settings.keyRestMs();
-                    timers.add(l.restUntil, () -> drop(d));
-                }
-                drop(d);
-            });
-        }
-
-        void ended(Delivery d) {
-            line(d).ifPresent(l -> l.waiting.remove(d));
-            drop(d);
-        }
-
-        private void drop(Delivery d) {
-            line(d).filter(l -> l.waiting.isEmpty() && l.out == 0 && l.restUntil <= clock)
-                    .ifPresent(l -> lines.remove(d.message.key().get()));
-        }
-    }
 }
