--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -188,6 +188,12 @@
         });
     }
 
+    @Override
+    public Set<Long> open() {
+        return deliveries.values().stream().filter(d -> !d.ended).map(d -> d.message.id())
+                .collect(Collectors.toSet());
+    }
+
     @Override
     public Memory memory(double now) {
         tick(now);
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 
 /**
  * The decision module's interface: what a sender tells it, what it tells the sender, and the values that
@@ -93,6 +94,9 @@
     /** Whether an endpoint is avoided now: left out by operators, or taken for down. */
     boolean avoids(long endpoint);
 
+    /** The messages that it has been told of and has not ended. */
+    Set<Long> open();
+
     /** All that this instance knows and a journal does not hold, for the process that takes over from this one. */
     Memory memory(double now);
 
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -50,6 +50,8 @@
     private static final long WARM_MS = 2300;
     /** Records that the disk did not take are tried again so often. */
     private static final long JOURNAL_RETRY_MS = 100;
+    /** So many frames of a fault's stack are logged. */
+    private static final int FAULT_FRAMES = 8;
     /** Stands for no message in what passes between two processes. */
     private static final long NO_MESSAGE = -1;
     /** A new version that gets no list in this time takes over with the old process's list. */
@@ -275,6 +277,21 @@
         }
         event(() -> relay.remember(openTurn(), clock - age, memory));
         Log.line(config.name() + " took over " + open.size() + " messages, with " + inherited.size() + " calls out");
+        logTakeover(age, known);
+    }
+
+    /** How what the journal holds compares with what the module goes on with. */
+    private void logTakeover(double ageMs, Set<Long> known) {
+        Set<Long> inModule = relay.open();
+        events.add("takeover", "age_ms", Math.round(ageMs), "open", open.size(), "module", inModule.size(), "calls",
+                inherited.size(), "notices", notices.owed());
+        for (Held held : open.values()) {
+            if (!inModule.contains(held.number)) {
+                events.add("takeover-not-in-module", "id", held.id, "class", held.messageClass, "told",
+                        known.contains(held.number), "attempts", held.attempts.size(), "left_ms",
+                        held.deadlineMs - journal.clock().nowMs());
+            }
+        }
     }
 
     /** Where operators call. */
@@ -412,8 +429,9 @@
     }
 
     /** A fault in one message's handling must not take the others down with the process. */
-    private static void fault(RuntimeException e) {
-        Log.line("fault in the module: " + e + " at " + List.of(e.getStackTrace()).stream().limit(5).toList());
+    private void fault(RuntimeException e) {
+        events.add("module-fault", "cause", e, "at",
+                List.of(e.getStackTrace()).stream().limit(FAULT_FRAMES).toList());
     }
 
     private void event(Runnable told) {
@@ -937,6 +955,7 @@
 
         @Override
         public void freeze(Consumer<ObjectNode> then) {
+            logHandover("FREEZING");
             frozen = true;
             notices.pause();
             // What is not written yet is the new process's to send; these ends come before what follows.
@@ -949,6 +968,7 @@
                 registry.ids().forEach(names::add);
                 state.set("list", discovery.list());
                 state.set("memory", Link.JSON.valueToTree(relay.memory(openTurn())));
+                logHandover("LEAVING");
                 journal.pause();
                 lock.close();
                 then.accept(state);
@@ -960,6 +980,7 @@
             lock = StateLock.take(config.state()).orElseThrow(() -> new IOException("another process owns"));
             journal.resume();
             frozen = false;
+            logHandover("OWNING");
             catchUpLater();
             notices.resume();
             // What waits is decided with the next turn.
@@ -968,6 +989,7 @@
 
         @Override
         public void left() {
+            logHandover("LEFT");
             open.clear();
             byId.clear();
             discovery.stop();
@@ -981,6 +1003,12 @@
         public void cancel(long message, int attempt) {
             Sender.this.cancel(message, attempt);
         }
+
+        /** What this process has at each step: the phases are those of {@link Handover}. */
+        private void logHandover(String phase) {
+            events.add("handover", "phase", phase, "open", open.size(), "module", relay.open().size(), "calls",
+                    calls.size(), "notices", notices.owed(), "closing", closing);
+        }
     }
 
     /** The new side: this process takes over, or just starts. */
@@ -1118,6 +1146,8 @@
         @Override
         public void gone() {
             Log.line("the old process is gone, with " + inherited.size() + " calls out");
+            events.add("predecessor-gone", "calls", inherited.size(), "open", open.size(), "module",
+                    relay.open().size(), "unanswered", answering.size());
             for (Out attempt : inherited.allOut()) {
                 ended(attempt, Relay.Outcome.BROKEN, false, false, 0, 0, false);
             }
