Reproduce the incident: messages that an upgrade loses behind one whose copy has ended (red)

Real processes: a hedged message whose copy has ended while its first attempt is out, then two messages in order; a second process takes over. The module alone: NoSuchElementException in Logic.remember.

--- a/src/test/java/kestreldeal/ModuleRestartTest.java
+++ b/src/test/java/kestreldeal/ModuleRestartTest.java
@@ -387,4 +387,20 @@
         b.until(6005);
         assertEquals(List.of("refuse 1"), b.answers);
     }
+
+    @Test
+    void messagesTakenAfterOneWhoseCopyEndedFirstAreKnownToTheNextProcess() {
+        Bench old = new Bench().list(1, 10, 11);
+        old.take(1, SAFE, 1);
+        old.until(1100);
+        assertEquals(List.of(1L, 1L), old.sent(), "a copy is out beside the first attempt");
+        old.end(1, 1, Outcome.ERROR);
+        old.entry(20, 2, 0, 0, false);
+        old.take(2, SAFE, 2);
+        Bench b = new Bench().list(1, 10, 11);
+        b.entry(20, 2, 0, 0, false);
+        b.takeOver(old, 0);
+        b.until(16_000);
+        assertTrue(b.answers.contains("refuse 2"), "answered: " + b.answers);
+    }
 }
--- a/src/test/java/kestreldeal/net/SenderProcess.java
+++ b/src/test/java/kestreldeal/net/SenderProcess.java
@@ -23,6 +23,7 @@
     private static final long END_MS = 10_000;
 
     private final Path folder;
+    private final String logPrefix;
     private final Map<String, String> environment = new HashMap<>();
     private int descriptorLimit;
     private int life;
@@ -32,10 +33,21 @@
 
     /** Below this folder; {@code config} is the configuration file. */
     SenderProcess(Path folder, Path config) throws IOException {
-        this.folder = folder;
-        Files.createDirectories(state());
-        environment.putAll(Map.of("GW_CONFIG", config.toString(), "GW_STATE", state().toString(),
+        this(folder, "log-", Map.of("GW_CONFIG", config.toString(), "GW_STATE", folder.resolve("state").toString(),
                 "TMPDIR", folder.toString()));
+        Files.createDirectories(state());
+    }
+
+    private SenderProcess(Path folder, String logPrefix, Map<String, String> environment) {
+        this.folder = folder;
+        this.logPrefix = logPrefix;
+        this.environment.putAll(environment);
+    }
+
+    /** A second process of the same sender, which is to take over from this one: not started yet. */
+    SenderProcess successor() {
+        SenderProcess successor = new SenderProcess(folder, logPrefix + "next-", environment);
+        return successor.with("GW_LISTEN", Endpoints.hostPort(address));
     }
 
     /** What the next process finds in its environment. */
@@ -91,7 +103,7 @@
     }
 
     private Path logFile() {
-        return folder.resolve("log-" + life);
+        return folder.resolve(logPrefix + life);
     }
 
     /** The whole lines that this life has logged so far. */
@@ -112,7 +124,7 @@
     String logs() {
         StringBuilder all = new StringBuilder();
         for (int i = 1; i <= life; i++) {
-            all.append(read(folder.resolve("log-" + i)));
+            all.append(read(folder.resolve(logPrefix + i)));
         }
         return all.toString();
     }
@@ -152,6 +164,11 @@
         }
     }
 
+    /** Waits until it has ended by itself. */
+    void awaitEnd() throws InterruptedException {
+        assertTrue(process.waitFor(END_MS, TimeUnit.MILLISECONDS), "it does not end: " + log());
+    }
+
     /** SIGKILL; returns when it has ended. */
     void kill() throws InterruptedException {
         process.destroyForcibly();
--- a/src/test/java/kestreldeal/net/TestConfig.java
+++ b/src/test/java/kestreldeal/net/TestConfig.java
@@ -21,6 +21,7 @@
     private String classes = KEYED_CLASS;
     private int workers = 10;
     private int batch = 1;
+    private boolean secondCopies;
 
     TestConfig(String discovery) {
         this.discovery = discovery;
@@ -59,6 +60,12 @@
         return this;
     }
 
+    /** A copy may join an attempt that is out. */
+    TestConfig secondCopies(boolean allowed) {
+        secondCopies = allowed;
+        return this;
+    }
+
     /** A list of one endpoint, as discovery would answer it. */
     static String list(Stub endpoint) {
         return list(List.of(endpoint.hostPort()));
@@ -93,10 +100,10 @@
                  "settings":{"classes":[%s],
                   "tenants":[{"name":"acme"}],"flavors":["m"],"zones":["a"],
                   "family_info":{"workers":%d,"batch_by_kind":[%d],"separate_routes":[false]},
-                  "fleet_size":1,"limits":{"most_tries":12,"second_copies":false,"cancel":true,"max_open":1000,
+                  "fleet_size":1,"limits":{"most_tries":12,"second_copies":%s,"cancel":true,"max_open":1000,
                    "dial_timeout_ms":1000,"keepalive_ms":15000},
                   "rules":{"start_capacity":0.2,"warm_after_ms":12000,"fall_multiple":2,"fall_ms":1500}}}
-                """.formatted(discovery, sockets, diskMb, known, classes, workers, batch));
+                """.formatted(discovery, sockets, diskMb, known, classes, workers, batch, secondCopies));
     }
 
     /** Answers a request for the whole list with the one endpoint. */
--- /dev/null
+++ b/src/test/java/kestreldeal/net/UpgradeProcessTest.java
@@ -0,0 +1,64 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** The program as a process of its own, from which a second one takes over while messages wait and calls are out. */
+class UpgradeProcessTest extends SenderProcessFixture {
+    private static final String CLASSES = """
+            {"name":"hedged","aim_ms":8000,"give_up_ms":24000,"repeat":"safe"},
+            {"name":"ordered","aim_ms":8000,"give_up_ms":24000,"repeat":"unsafe","sequential":true}""";
+
+    private final CountDownLatch answers = new CountDownLatch(1);
+    private SenderProcess successor;
+
+    @Override
+    Path configure() throws IOException {
+        return new TestConfig(agent.hostPort()).classes(CLASSES).workers(6).secondCopies(true).known(agent.list())
+                .write(folder);
+    }
+
+    @AfterEach
+    void closeSuccessor() throws Exception {
+        if (successor != null) {
+            successor.close();
+        }
+    }
+
+    private void handInOrdered(String id) throws IOException {
+        String request = TestConfig.message(id, "ordered", "hello").replace("/ordered", "/ordered?thread=one");
+        assertEquals("202", ask(sender.address(), request).line().split(" ")[1]);
+    }
+
+    @Test
+    void messagesTakenAfterOneWhoseCopyEndedFirstAreDeliveredByTheNextProcess() throws Exception {
+        script((call, socket) -> {
+            String id = ids(call).get(0);
+            if (id.equals("hedged") && callsWith(id) == 2) {
+                Stub.write(socket, "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n");
+            } else {
+                answers.await();
+                accept(call, socket);
+            }
+        });
+        sender.start();
+        handIn("hedged", "hedged");
+        sender.awaitEvent("attempt-ended", "id=hedged", "attempt=1", "outcome=FULL");
+        handInOrdered("first");
+        Stub.await("the first of the thread is out", () -> callsWith("first") == 1);
+        handInOrdered("second");
+        successor = sender.successor().start();
+        successor.awaitEvent("takeover", "open=3", "calls=2");
+        sender.signal("TERM");
+        answers.countDown();
+        sender.awaitEnd();
+        Stub.await("the second of the thread is delivered", () -> callsWith("second") == 1);
+        sender = successor;
+        awaitAllEnded();
+    }
+}
