--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -241,7 +241,15 @@
             enqueue(d);
             giveUpInTime(d);
         } else {
-            watch(d, d.attempts.get(d.attempts.size() - 1), d.out > 1);
+            watchRemembered(d);
+        }
+    }
+
+    /** One that is out while a later one was sent has had its copy, whether or not that is still out. */
+    private void watchRemembered(Delivery d) {
+        for (Attempt attempt : d.attempts) {
+            boolean hadCopy = d.out > 1 || attempt != d.attempts.get(d.attempts.size() - 1);
+            attempt.call.filter(call -> attempt.out).ifPresent(call -> watch(d, attempt, call, hadCopy));
         }
     }
 
@@ -527,12 +535,11 @@
         }
         double timeout = Math.min(target.timeout(d.type), d.deadline - clock);
         actions.send(d.message.id(), target.entry.id(), timeout);
-        watch(d, attempt, copy);
+        watch(d, attempt, call, copy);
     }
 
-    private void watch(Delivery d, Attempt attempt, boolean copy) {
+    private void watch(Delivery d, Attempt attempt, Call call, boolean copy) {
         double offset = d.type.aimMs() * COPY_OFFSET;
-        Call call = attempt.call.orElseThrow();
         timers.add(attempt.sentAt + offset, () -> offsetPassed(d, attempt, copy));
         timers.add(attempt.sentAt + Math.max(offset, call.target.patience()), call::overdue);
     }
