--- a/src/main/java/kestreldeal/net/Handover.java
+++ b/src/main/java/kestreldeal/net/Handover.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -29,8 +30,11 @@
         /** Whether there is something to hand over, and nothing stands against it. */
         boolean mayLeave();
 
-        /** Stops deciding; the state follows once it is whole and the journal is let go of. */
-        void freeze(Consumer<ObjectNode> state);
+        /**
+         * Stops deciding; the state follows once it is whole and the journal is let go of. Without one this process goes on
+         * as the owner.
+         */
+        void freeze(Consumer<Optional<ObjectNode>> state);
 
         /** The new process failed before it owned: this one goes on. */
         void unfreeze() throws IOException;
@@ -159,14 +163,27 @@
         Log.line("a new version asks to take over");
         phase = Phase.FREEZING;
         link = from;
-        estate.freeze(state -> {
-            phase = Phase.LEAVING;
-            if (link == null) {
-                goOn();
-            } else {
-                link.send(state);
-            }
-        });
+        estate.freeze(state -> state.ifPresentOrElse(this::leave, this::stay));
+    }
+
+    private void leave(ObjectNode state) {
+        phase = Phase.LEAVING;
+        if (link == null) {
+            goOn();
+        } else {
+            link.send(state);
+        }
+    }
+
+    /** The state could not be made: the new process may ask again. */
+    private void stay() {
+        Log.line("the state can't be handed over; this process goes on");
+        phase = Phase.OWNING;
+        if (link != null) {
+            Link asking = link;
+            link = null;
+            asking.close();
+        }
     }
 
     private void closed(Link which) {
@@ -179,7 +196,7 @@
         } else if (phase == Phase.LEFT) {
             List<Consumer<JsonNode>> open = new ArrayList<>(unanswered.values());
             unanswered.clear();
-            open.forEach(then -> then.accept(Link.JSON.missingNode()));
+            open.forEach(then -> FaultIsolation.run(() -> then.accept(Link.JSON.missingNode())));
         }
     }
 
@@ -196,6 +213,6 @@
         unanswered.clear();
         List<Runnable> here = new ArrayList<>(kept);
         kept.clear();
-        here.forEach(Runnable::run);
+        here.forEach(FaultIsolation::run);
     }
 }
--- a/src/main/java/kestreldeal/net/InputBarrier.java
+++ b/src/main/java/kestreldeal/net/InputBarrier.java
@@ -61,6 +61,6 @@
         }
         List<Runnable> tasks = waiting;
         waiting = new ArrayList<>();
-        tasks.forEach(Runnable::run);
+        tasks.forEach(FaultIsolation::run);
     }
 }
--- a/src/main/java/kestreldeal/net/Link.java
+++ b/src/main/java/kestreldeal/net/Link.java
@@ -61,7 +61,8 @@
     private final class Lines extends SimpleChannelInboundHandler<ByteBuf> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf text) throws IOException {
-            line.accept(JSON.readTree(text.toString(StandardCharsets.UTF_8)));
+            JsonNode node = JSON.readTree(text.toString(StandardCharsets.UTF_8));
+            FaultIsolation.run(() -> line.accept(node));
         }
 
         @Override
--- a/src/main/java/kestreldeal/net/Notices.java
+++ b/src/main/java/kestreldeal/net/Notices.java
@@ -128,7 +128,7 @@
         if (status == 204 || unreadable && told.size() == 1) {
             // New ones come in behind, so those told are still the first.
             told.forEach(held -> owed.remove());
-            told.forEach(heard);
+            told.forEach(held -> FaultIsolation.run(() -> heard.accept(held)));
         }
         if (owed.isEmpty()) {
             asking = false;
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 import kestreldeal.BadInput;
 import kestreldeal.Relay;
@@ -50,8 +51,10 @@
     private static final long WARM_MS = 2300;
     /** Records that the disk did not take are tried again so often. */
     private static final long JOURNAL_RETRY_MS = 100;
-    /** So many frames of a fault's stack are logged. */
-    private static final int FAULT_FRAMES = 8;
+    /** A turn that a fault has broken off is followed by another after so long. */
+    private static final long FAULT_RETRY_MS = 20;
+    /** After so long the client of a message may come again that a fault has held up until its deadline. */
+    private static final double OVERDUE_RETRY_AFTER_MS = 1000;
     /** Stands for no message in what passes between two processes. */
     private static final long NO_MESSAGE = -1;
     /** A new version that gets no list in this time takes over with the old process's list. */
@@ -66,9 +69,9 @@
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final long startNanos = System.nanoTime();
     private final EndpointRegistry registry = new EndpointRegistry();
-    /** What is held and not over, by the module's number, and by the client's id. */
-    private final Map<Long, Held> open = new HashMap<>();
-    private final Map<String, Held> byId = new HashMap<>();
+    private final OpenMessages open = new OpenMessages();
+    /** Ends what the module does not end in time; there is one once the journal, with its clock, is owned. */
+    private DeadlineWatchdog watchdog;
     /** Attempts that are out, by message and attempt. */
     private final Map<Out, Endpoints.Call> calls = new HashMap<>();
     private final Relay relay;
@@ -203,8 +206,9 @@
 
     /** This process owns the journal from now on: what it holds goes on, with what the old process passed. */
     private void own(StateLock token, Optional<JsonNode> state) throws IOException {
-        lock = token;
         journal = new Journal(config.state(), config.diskBytes(), config.settings().maxAttempts());
+        watchdog = new DeadlineWatchdog(loop, journal.clock()::nowMs, this::overdue);
+        lock = token;
         journal.whenBehind(this::catchUpLater);
         Optional<Relay.Memory> memory = state.flatMap(this::memory);
         if (memory.isPresent()) {
@@ -255,9 +259,9 @@
 
     private void inherit(JsonNode state, Relay.Memory memory) {
         double age = Math.max(0, journal.clock().nowMs() - state.path("at").asLong());
-        Set<Long> known = new HashSet<>();
+        Set<Long> remembered = new HashSet<>();
         for (Relay.MessageMemory m : memory.messages()) {
-            known.add(m.message().id());
+            remembered.add(m.message().id());
             inherited.openCalls(m.message().id(), m.openCalls());
             for (int i = 0; i < m.attempts().size(); i++) {
                 if (m.attempts().get(i).out()) {
@@ -265,33 +269,49 @@
                 }
             }
         }
+        Predicate<Held> heard = heardByClients(state, remembered);
         for (Held held : journal.held()) {
             inherited.held(held);
             if (held.over) {
                 notices.owe(held);
             } else {
-                open.put(held.number, held);
-                byId.put(held.id, held);
-                held.told = known.contains(held.number);
+                addOpen(held);
+                held.told = heard.test(held);
             }
         }
         event(() -> relay.remember(openTurn(), clock - age, memory));
         Log.line(config.name() + " took over " + open.size() + " messages, with " + inherited.size() + " calls out");
-        logTakeover(age, known);
+        reconcile(age);
+    }
+
+    /** Whose messages the old process has told its module; one of an earlier version names them by its module alone. */
+    private static Predicate<Held> heardByClients(JsonNode state, Set<Long> remembered) {
+        if (!state.has("unheard")) {
+            return held -> remembered.contains(held.number);
+        }
+        Set<Long> unheard = new HashSet<>();
+        state.path("unheard").forEach(number -> unheard.add(number.asLong()));
+        return held -> !unheard.contains(held.number);
     }
 
-    /** How what the journal holds compares with what the module goes on with. */
-    private void logTakeover(double ageMs, Set<Long> known) {
+    /**
+     * The journal says what is owed, whatever came of the module's memory on its way here: what the module does not go on
+     * with is resumed as after a restart, and it drops what is over.
+     */
+    private void reconcile(double ageMs) {
         Set<Long> inModule = relay.open();
         events.add("takeover", "age_ms", Math.round(ageMs), "open", open.size(), "module", inModule.size(), "calls",
                 inherited.size(), "notices", notices.owed());
-        for (Held held : open.values()) {
-            if (!inModule.contains(held.number)) {
-                events.add("takeover-not-in-module", "id", held.id, "class", held.messageClass, "told",
-                        known.contains(held.number), "attempts", held.attempts.size(), "left_ms",
-                        held.deadlineMs - journal.clock().nowMs());
+        long steady = journal.clock().nowMs();
+        for (Held held : open.all()) {
+            if (held.told && !inModule.contains(held.number)) {
+                events.add("takeover-not-in-module", "id", held.id, "class", held.messageClass, "attempts",
+                        held.attempts.size(), "left_ms", held.deadlineMs - steady);
+                resume(held, steady);
             }
         }
+        inModule.stream().filter(number -> open.find(number).isEmpty())
+                .forEach(number -> event(() -> relay.withdrawn(openTurn(), number)));
     }
 
     /** Where operators call. */
@@ -329,57 +349,85 @@
      */
     private void replay() {
         long steady = journal.clock().nowMs();
-        int resumed = 0;
         for (Held held : journal.held()) {
-            try {
-                resumed += replay(held, steady) ? 1 : 0;
-            } catch (RuntimeException e) {
-                // What the module can't take is ended here, as it is owed its end; those behind it go on.
-                fault(e);
-                if (!held.over) {
-                    giveUp(held);
-                }
+            if (held.over) {
+                replayNotice(held, steady);
+            } else {
+                resume(held, steady);
             }
         }
-        Log.line(config.name() + " is ready, with " + resumed + " messages from its journal");
+        Log.line(config.name() + " is ready, with " + open.size() + " messages from its journal");
     }
 
-    /** Whether the message goes on in this life. */
-    private boolean replay(Held held, long steady) {
+    private void replayNotice(Held held, long steady) {
+        notices.owe(held);
         int messageClass = config.classes().indexOf(held.messageClass);
-        double leftMs = held.deadlineMs - steady;
-        if (held.over) {
-            notices.owe(held);
-            if (messageClass >= 0) {
-                relay.unheard(openTurn(), message(held, messageClass, leftMs));
-            }
-            return false;
+        if (messageClass >= 0) {
+            event(() -> relay.unheard(openTurn(), message(held, messageClass, held.deadlineMs - steady)));
         }
+    }
+
+    /** A message goes on with what the journal knows of it; what the module can't take is owed its end all the same. */
+    private void resume(Held held, long steady) {
+        addOpen(held);
+        held.told = true;
+        int messageClass = config.classes().indexOf(held.messageClass);
         if (messageClass < 0) {
             Log.line("class " + held.messageClass + " is gone; its message is given up");
-            giveUp(held);
-            return false;
+            giveUp(held, 0);
+        } else if (!FaultIsolation.run(() -> resume(held, messageClass, steady)) && !held.over) {
+            giveUp(held, 0);
         }
+    }
+
+    private void resume(Held held, int messageClass, long steady) {
         double now = openTurn();
+        double leftMs = held.deadlineMs - steady;
         List<Relay.EarlierAttempt> earlier = new ArrayList<>();
         for (Held.Attempt a : held.attempts) {
             // After another boot the clocks may disagree, and must not move a send into the future.
             double sentAt = now - Math.max(0, steady - a.sentAtMs);
             earlier.add(new Relay.EarlierAttempt(registry.number(a.endpoint), sentAt, !a.neverRan));
         }
-        open.put(held.number, held);
-        byId.put(held.id, held);
-        held.told = true;
         if (earlier.isEmpty()) {
             untried.found(held.number, leftMs);
         }
         relay.resumed(now, message(held, messageClass, leftMs), earlier);
-        return true;
     }
 
-    /** Ends what the module does not know: its client may come again if it surely has not run. */
-    private void giveUp(Held held) {
-        end(held, new Held.Notice(held.attempts.stream().allMatch(a -> a.neverRan), 0));
+    /** From now on this process owes a message its end. */
+    private void addOpen(Held held) {
+        open.add(held);
+        watchdog.watch(held);
+    }
+
+    /** Ends what the module does not: its client may come again, after so long, if it surely has not run. */
+    private void giveUp(Held held, double waitMs) {
+        boolean neverRan = held.attempts.stream().allMatch(a -> a.neverRan);
+        end(held, new Held.Notice(neverRan, waitMs));
+        event(() -> relay.confirming(openTurn(), held.number));
+    }
+
+    /** Time is up for a message that nobody has ended. A loop that was held up may have its end still before it. */
+    private void overdue(Held held) {
+        openTurn();
+        loop.execute(() -> {
+            if (held.over) {
+                return;
+            }
+            if (!ownsMessages()) {
+                watchdog.watch(held);
+                return;
+            }
+            events.add("overdue", "id", held.id, "class", held.messageClass, "told", held.told, "attempts",
+                    held.attempts.size(), "module", relay.open().contains(held.number));
+            giveUp(held, OVERDUE_RETRY_AFTER_MS);
+        });
+    }
+
+    /** Whether what is open is this process's to end. */
+    private boolean ownsMessages() {
+        return owner && !frozen;
     }
 
     /** A list is known and the journal is read: this process can work. */
@@ -416,30 +464,18 @@
     }
 
     private void endTurn() {
-        try {
-            if (!frozen) {
-                relay.endTurn(clock);
-            }
-        } catch (RuntimeException e) {
-            fault(e);
-        } finally {
-            turnOpen = false;
-            event(endpoints::flush);
+        boolean whole = frozen || FaultIsolation.run(() -> relay.endTurn(clock));
+        turnOpen = false;
+        event(endpoints::flush);
+        if (!whole) {
+            // What it did not come to, among it the next wake, would wait for an event that may never happen.
+            loop.schedule(this::openTurn, FAULT_RETRY_MS, TimeUnit.MILLISECONDS);
         }
     }
 
     /** A fault in one message's handling must not take the others down with the process. */
-    private void fault(RuntimeException e) {
-        events.add("module-fault", "cause", e, "at",
-                List.of(e.getStackTrace()).stream().limit(FAULT_FRAMES).toList());
-    }
-
-    private void event(Runnable told) {
-        try {
-            told.run();
-        } catch (RuntimeException e) {
-            fault(e);
-        }
+    private static void event(Runnable told) {
+        FaultIsolation.run(told);
     }
 
     // ---- what the module asks ----
@@ -461,7 +497,7 @@
 
     @Override
     public void send(long message, long endpoint, double timeoutMs) {
-        Held held = open.get(message);
+        Held held = open.find(message).orElseThrow();
         int number = held.attempts.size();
         Held.Attempt attempt = new Held.Attempt(registry.id(endpoint), journal.clock().nowMs());
         attempt.listGeneration = discovery.generation();
@@ -486,13 +522,13 @@
 
     @Override
     public boolean refuse(long message, double waitMs) {
-        end(open.get(message), new Held.Notice(true, waitMs));
+        end(open.find(message).orElseThrow(), new Held.Notice(true, waitMs));
         return false;
     }
 
     @Override
     public boolean fail(long message) {
-        end(open.get(message), new Held.Notice(false, 0));
+        end(open.find(message).orElseThrow(), new Held.Notice(false, 0));
         return false;
     }
 
@@ -681,8 +717,8 @@
     private void over(Held held) {
         held.over = true;
         untried.ended(held.number);
-        open.remove(held.number);
-        byId.remove(held.id);
+        open.remove(held);
+        watchdog.forget(held);
     }
 
     /** The platform has answered the notice: only now is the message over. */
@@ -787,9 +823,9 @@
         if (!ready) {
             return refused(s, "no room", 0);
         }
-        Held known = byId.get(s.id());
-        if (known != null) {
-            return taken(known);
+        Optional<Held> known = open.find(s.id());
+        if (known.isPresent()) {
+            return taken(known.get());
         }
         Optional<FinishedMessage> finished = journal.finished(s.id());
         return finished.map(Intake.Verdict::finished).orElseGet(() -> takeNew(s));
@@ -815,8 +851,7 @@
         } catch (IOException e) {
             return refused(s, "no room", 0);
         }
-        open.put(held.number, held);
-        byId.put(held.id, held);
+        addOpen(held);
         return taken(held);
     }
 
@@ -954,34 +989,57 @@
         }
 
         @Override
-        public void freeze(Consumer<ObjectNode> then) {
+        public void freeze(Consumer<Optional<ObjectNode>> then) {
             logHandover("FREEZING");
             frozen = true;
+            watchdog.suspend();
             notices.pause();
             // What is not written yet is the new process's to send; these ends come before what follows.
             new ArrayList<>(calls.values()).forEach(endpoints::callOffUnsent);
             loop.execute(() -> {
+                Optional<ObjectNode> state = state();
+                if (state.isPresent()) {
+                    logHandover("LEAVING");
+                    journal.pause();
+                    lock.close();
+                } else {
+                    goOn();
+                }
+                then.accept(state);
+            });
+        }
+
+        /** All that the new process needs beside the journal; none where a fault has made that impossible. */
+        private Optional<ObjectNode> state() {
+            try {
                 ObjectNode state = Link.line("state").put("at", journal.clock().nowMs())
                         .put("numbers", journal.numbers());
                 state.set("classes", Link.JSON.valueToTree(config.classes()));
                 ArrayNode names = state.putArray("endpoints");
                 registry.ids().forEach(names::add);
+                ArrayNode unheard = state.putArray("unheard");
+                open.all().stream().filter(held -> !held.told).forEach(held -> unheard.add(held.number));
                 state.set("list", discovery.list());
                 state.set("memory", Link.JSON.valueToTree(relay.memory(openTurn())));
-                logHandover("LEAVING");
-                journal.pause();
-                lock.close();
-                then.accept(state);
-            });
+                return Optional.of(state);
+            } catch (RuntimeException e) {
+                FaultIsolation.report(e);
+                return Optional.empty();
+            }
         }
 
         @Override
         public void unfreeze() throws IOException {
             lock = StateLock.take(config.state()).orElseThrow(() -> new IOException("another process owns"));
             journal.resume();
+            goOn();
+        }
+
+        private void goOn() {
             frozen = false;
             logHandover("OWNING");
             catchUpLater();
+            watchdog.resume();
             notices.resume();
             // What waits is decided with the next turn.
             openTurn();
@@ -991,7 +1049,6 @@
         public void left() {
             logHandover("LEFT");
             open.clear();
-            byId.clear();
             discovery.stop();
             listLease.stop();
             intake.leave();
@@ -1055,12 +1112,29 @@
         }
 
         @Override
-        public void failed(IOException why) {
+        public void failed(Exception why) {
+            if (lock != null) {
+                letGo();
+            }
             serving.completeExceptionally(why);
         }
 
+        /** What is half begun here is left to whoever owns next; nothing is written or sent any more. */
+        private void letGo() {
+            owner = false;
+            frozen = true;
+            notices.pause();
+            watchdog.suspend();
+            journal.close();
+            lock.close();
+        }
+
         @Override
         public void reported(JsonNode line) {
+            event(() -> report(line));
+        }
+
+        private void report(JsonNode line) {
             long message = line.path("message").asLong();
             switch (line.path("do").asText()) {
                 case "ended" -> ended(new Out(message, line.path("attempt").asInt()),
@@ -1121,10 +1195,11 @@
                 Intake.Submission s = Link.JSON.treeToValue(line.path("submission"), Intake.Submission.class);
                 Intake.Verdict verdict = take(s);
                 ObjectNode reply = Link.line("reply").put("n", line.path("n").asLong()).put("taken", verdict.taken());
-                Held held = byId.get(s.id());
-                if (verdict.taken() && held != null) {
-                    answering.computeIfAbsent(held.number, number -> new ArrayDeque<>()).add(verdict);
-                    takeover.tell(reply.put("message", held.number));
+                Optional<Held> held = open.find(s.id());
+                if (verdict.taken() && held.isPresent()) {
+                    long number = held.get().number;
+                    answering.computeIfAbsent(number, message -> new ArrayDeque<>()).add(verdict);
+                    takeover.tell(reply.put("message", number));
                 } else if (verdict.taken()) {
                     // It has run already: nothing hangs on whether its client hears of it.
                     takeover.tell(reply.put("message", NO_MESSAGE));
@@ -1149,15 +1224,15 @@
             events.add("predecessor-gone", "calls", inherited.size(), "open", open.size(), "module",
                     relay.open().size(), "unanswered", answering.size());
             for (Out attempt : inherited.allOut()) {
-                ended(attempt, Relay.Outcome.BROKEN, false, false, 0, 0, false);
+                event(() -> ended(attempt, Relay.Outcome.BROKEN, false, false, 0, 0, false));
             }
             inherited.allOpen().forEach(this::closed);
             List<Intake.Verdict> unanswered = answering.values().stream().flatMap(Deque::stream).toList();
             answering.clear();
-            unanswered.forEach(verdict -> verdict.answered().accept(true));
+            unanswered.forEach(verdict -> event(() -> verdict.answered().accept(true)));
             for (Held held : inherited.allHeld()) {
                 if (!held.over) {
-                    Sender.this.answered(held, true);
+                    event(() -> Sender.this.answered(held, true));
                 }
             }
             inherited.clear();
--- a/src/main/java/kestreldeal/net/Takeover.java
+++ b/src/main/java/kestreldeal/net/Takeover.java
@@ -42,7 +42,7 @@
         void own(StateLock lock, Optional<JsonNode> state) throws IOException;
 
         /** It can't own after all. */
-        void failed(IOException why);
+        void failed(Exception why);
 
         /** The old process reports. */
         void reported(JsonNode line);
@@ -85,7 +85,8 @@
             } else {
                 again();
             }
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
+            // The lock goes with the process: whoever had it before, or comes next, owns again.
             heir.failed(e);
         }
     }
@@ -169,7 +170,7 @@
             tell(Link.line("own"));
             early.forEach(heir::reported);
             early.clear();
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
             heir.failed(e);
         }
     }
--- a/src/test/java/kestreldeal/net/TakeoverTest.java
+++ b/src/test/java/kestreldeal/net/TakeoverTest.java
@@ -33,6 +33,7 @@
     private final List<Runnable> listening = new CopyOnWriteArrayList<>();
     private ServerSocketChannel old;
     private StateLock lock;
+    private volatile boolean ownFails;
 
     private final Takeover.Heir heir = new Takeover.Heir() {
         @Override
@@ -54,10 +55,13 @@
         public void own(StateLock token, Optional<JsonNode> state) {
             heard.add(state.isPresent() ? "own with state" : "own");
             token.close();
+            if (ownFails) {
+                throw new IllegalStateException("the state can't be used");
+            }
         }
 
         @Override
-        public void failed(IOException why) {
+        public void failed(Exception why) {
             heard.add("failed");
         }
 
@@ -141,4 +145,17 @@
         }
         assertEquals(List.of(), heard);
     }
+
+    @Test
+    void aFaultOnTheWayToOwningIsTold() throws Exception {
+        ownFails = true;
+        try (SocketChannel link = asked()) {
+            write(link, "{\"do\":\"state\"}\n");
+            Stub.await("it listens", () -> listening.size() == 1);
+            lock.close();
+            loop.execute(listening.get(0));
+            Stub.await("the failure", () -> heard.contains("failed"));
+        }
+        assertEquals(List.of("own with state", "failed"), heard);
+    }
 }
