Run what is due, remembered or reported though a fault ends what stands before it

What callers saw: with one fault in a due task, or in one remembered message, the messages beside it waited for an event that might never come. Cause: bare loops (Timers.run, Logic.remember, Logic.endTurn, Takeover's early reports) ended with the first exception; the next wake was not asked for. Change: each task is run, the first fault is thrown at the end and logged; the state of a handover belongs to the connection it came over.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -211,8 +211,10 @@
         copies.restore(memory.copies(), clock);
         retries.restore(memory.retries(), clock);
         Map<Long, Call> calls = new LinkedHashMap<>();
-        memory.messages().forEach(m -> remember(m, takenAt, calls));
         memory.keyRests().forEach((key, restIn) -> keys.remember(key, takenAt + restIn));
+        Faults faults = new Faults();
+        memory.messages().forEach(m -> faults.collect(() -> remember(m, takenAt, calls)));
+        faults.rethrow();
     }
 
     /** A message comes back as it stood: a wave that is out runs on, and what waits waits as before. */
@@ -425,10 +427,12 @@
     @Override
     public void endTurn(double now) {
         tick(now);
-        timers.run(now);
-        dispatch();
+        Faults faults = new Faults();
+        faults.collect(() -> timers.run(now));
+        faults.collect(this::dispatch);
         turn++;
         timers.ask(now, nextOpening());
+        faults.rethrow();
     }
 
     private void enqueue(Delivery d) {
--- a/src/main/java/kestreldeal/Timers.java
+++ b/src/main/java/kestreldeal/Timers.java
@@ -31,10 +31,13 @@
         due.add(new Timer(at, count++, action));
     }
 
+    /** Runs all that is due. One that fails does not hold back the others; its fault is thrown at the end. */
     void run(double now) {
+        Faults faults = new Faults();
         while (!due.isEmpty() && due.peek().at() <= now) {
-            due.remove().action().run();
+            faults.collect(due.remove().action());
         }
+        faults.rethrow();
     }
 
     /** Asks for a wake at what is due first, or at the given time if that comes before. */
--- a/src/main/java/kestreldeal/net/Takeover.java
+++ b/src/main/java/kestreldeal/net/Takeover.java
@@ -147,12 +147,13 @@
         } else if (node.path("do").asText().equals("state")) {
             given = true;
             patience.cancel(false);
-            heir.listenBeside(() -> take(node), link::close);
+            Link from = link;
+            heir.listenBeside(() -> take(from, node), from::close);
         }
     }
 
-    private void take(JsonNode node) {
-        if (link == null) {
+    private void take(Link from, JsonNode node) {
+        if (link != from) {
             // The old process went meanwhile, or took everything back: its state is not to be trusted.
             if (!owner) {
                 heir.listenNoMore();
@@ -168,7 +169,7 @@
             owner = true;
             heir.own(lock.get(), Optional.of(node));
             tell(Link.line("own"));
-            early.forEach(heir::reported);
+            early.forEach(report -> FaultIsolation.run(() -> heir.reported(report)));
             early.clear();
         } catch (IOException | RuntimeException e) {
             heir.failed(e);
--- a/src/test/java/kestreldeal/net/InputBarrierTest.java
+++ b/src/test/java/kestreldeal/net/InputBarrierTest.java
@@ -72,4 +72,16 @@
         awaitRun("write");
         assertEquals(8, now.get() / LONG_NANOS - 1, "two looks at the clock in each of four passes, and one at the end");
     }
+
+    @Test
+    void whatWaitsBehindATaskThatFailsIsStillRun() throws Exception {
+        loop.submit(() -> {
+            barrier.whenRead(() -> {
+                throw new IllegalStateException("a fault of the test's");
+            });
+            barrier.whenRead(() -> ran.add("write"));
+            loop.schedule(() -> ran.add("later"), 100, TimeUnit.MILLISECONDS);
+        }).sync();
+        awaitRun("write", "later");
+    }
 }
--- a/src/test/java/kestreldeal/net/TakeoverTest.java
+++ b/src/test/java/kestreldeal/net/TakeoverTest.java
@@ -67,6 +67,9 @@
 
         @Override
         public void reported(JsonNode line) {
+            if (line.path("fails").asBoolean()) {
+                throw new IllegalStateException("a fault of the test's");
+            }
             heard.add(line.path("do").asText());
         }
 
@@ -158,4 +161,20 @@
         }
         assertEquals(List.of("own with state", "failed"), heard);
     }
+
+    /** An attempt whose end is not heard would count as out for good. */
+    @Test
+    void reportsBehindOneThatFailsAreStillHeard() throws Exception {
+        try (SocketChannel link = asked()) {
+            write(link, "{\"do\":\"state\"}\n{\"do\":\"ended\",\"fails\":true}\n{\"do\":\"ended\"}\n");
+            Stub.await("it listens", () -> listening.size() == 1);
+            lock.close();
+            loop.submit(() -> { }).syncUninterruptibly();
+            // As from a listener of a future, which keeps what is thrown to itself.
+            loop.newSucceededFuture(null).addListener(f -> listening.get(0).run());
+            assertEquals("{\"do\":\"own\"}\n", read(link));
+            loop.submit(() -> { }).syncUninterruptibly();
+            assertEquals(List.of("own with state", "ended"), heard);
+        }
+    }
 }
