--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -54,13 +54,25 @@
     private final WithdrawnEndpoints withdrawn;
     private long headerBytes;
     private Runnable whenBehind = () -> { };
+    /** Another process may write the file. */
+    private boolean paused;
 
     Journal(Path folder, long diskBytes, int maxAttempts) throws IOException {
         this(folder, diskBytes, maxAttempts, JournalFile.Disk.REAL, TimeSource.SYSTEM);
     }
 
+    /** Goes on where another process has {@linkplain #pause paused}, which could not write these records. */
+    Journal(Path folder, long diskBytes, int maxAttempts, byte[] unwritten) throws IOException {
+        this(folder, diskBytes, maxAttempts, unwritten, JournalFile.Disk.REAL, TimeSource.SYSTEM);
+    }
+
     /** On a disk and with clocks of its own, for tests. */
     Journal(Path folder, long diskBytes, int maxAttempts, JournalFile.Disk disk, TimeSource time) throws IOException {
+        this(folder, diskBytes, maxAttempts, new byte[0], disk, time);
+    }
+
+    private Journal(Path folder, long diskBytes, int maxAttempts, byte[] unwritten, JournalFile.Disk disk,
+            TimeSource time) throws IOException {
         this.bound = diskBytes - BLOCKS;
         this.finished = new FinishedMessages(bound / FINISHED_SHARE);
         this.withdrawn = new WithdrawnEndpoints(bound / WITHDRAWN_SHARE);
@@ -68,6 +80,8 @@
         this.file = new JournalFile(folder.resolve("journal"), folder.resolve("journal.next"), disk);
         // A torn tail would hide all that is appended behind it.
         file.endsAt(replay(file.read()));
+        replay(unwritten);
+        file.defer(unwritten);
         this.clock = earlierBase.map(base -> SteadyClock.resume(time, base))
                 .orElseGet(() -> SteadyClock.fromWallClock(time));
         clockRecorded = earlierBase.equals(Optional.of(clock.base()));
@@ -248,6 +262,7 @@
     /** Tries to write what the disk did not take; whether all is in the file now. */
     boolean catchUp() {
         try {
+            failIfPaused();
             makeRoom(0);
             file.catchUp();
             return true;
@@ -256,14 +271,21 @@
         }
     }
 
-    /** Lets go of the file, since another process may write it now; nothing is recorded until {@link #resume}. */
-    void pause() {
+    /**
+     * Lets go of the file, since another process may write it now: nothing is written until {@link #resume}. Returns the
+     * records that the disk has not taken, which that process has to know.
+     */
+    byte[] pause() {
+        catchUp();
+        paused = true;
         close();
+        return file.unwritten();
     }
 
-    /** That process has written nothing; what is known here still stands in the file. */
+    /** That process has written nothing; what is known here still stands in the file, and the rest is written again. */
     void resume() throws IOException {
         file.reopen();
+        paused = false;
     }
 
     /** All numbers below this one are used. */
@@ -295,6 +317,7 @@
     }
 
     private void append(byte[] record) throws IOException {
+        failIfPaused();
         makeRoom(record.length);
         if (file.size() + file.unwrittenBytes() + record.length > bound) {
             throw new IOException("the journal is full");
@@ -321,6 +344,12 @@
         }
     }
 
+    private void failIfPaused() throws IOException {
+        if (paused) {
+            throw new IOException("another process may own the journal");
+        }
+    }
+
     /** Compacts the file where otherwise this record would leave no room for a compacted copy beside it. */
     private void makeRoom(int recordLength) throws IOException {
         if (file.size() + file.unwrittenBytes() + compactedBytes() + 2L * recordLength > bound) {
--- a/src/main/java/kestreldeal/net/JournalFile.java
+++ b/src/main/java/kestreldeal/net/JournalFile.java
@@ -1,5 +1,6 @@
 package kestreldeal.net;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -102,6 +103,20 @@
         unwritten.add(bytes);
     }
 
+    /** The same for records that another process could not write, which may be none. */
+    void defer(byte[] bytes) {
+        if (bytes.length > 0) {
+            unwritten.add(bytes);
+        }
+    }
+
+    /** All that has happened and is not in the file. */
+    byte[] unwritten() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        unwritten.forEach(bytes::writeBytes);
+        return bytes.toByteArray();
+    }
+
     /** Writes what could not be written before; throws if some of it still can't. */
     void catchUp() throws IOException {
         if (tornTail) {
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -206,10 +206,11 @@
 
     /** This process owns the journal from now on: what it holds goes on, with what the old process passed. */
     private void own(StateLock token, Optional<JsonNode> state) throws IOException {
-        journal = new Journal(config.state(), config.diskBytes(), config.settings().maxAttempts());
+        journal = new Journal(config.state(), config.diskBytes(), config.settings().maxAttempts(), unwritten(state));
         watchdog = new DeadlineWatchdog(loop, journal.clock()::nowMs, this::overdue);
         lock = token;
         journal.whenBehind(this::catchUpLater);
+        catchUpLater();
         Optional<Relay.Memory> memory = state.flatMap(this::memory);
         if (memory.isPresent()) {
             state.get().path("endpoints").forEach(id -> registry.number(id.asText()));
@@ -230,6 +231,11 @@
         handover.listen(config.handover());
     }
 
+    /** Records that the disk did not take from the old process. */
+    private static byte[] unwritten(Optional<JsonNode> state) throws IOException {
+        return state.isPresent() && state.get().has("unwritten") ? state.get().path("unwritten").binaryValue() : new byte[0];
+    }
+
     /** The disk did not take a record: it is tried again until it does, whether or not anything else happens. */
     private void catchUpLater() {
         if (catchUpDue) {
@@ -1000,7 +1006,7 @@
                 Optional<ObjectNode> state = state();
                 if (state.isPresent()) {
                     logHandover("LEAVING");
-                    journal.pause();
+                    state.get().put("unwritten", journal.pause());
                     lock.close();
                 } else {
                     goOn();
--- a/src/test/java/kestreldeal/net/SenderFixture.java
+++ b/src/test/java/kestreldeal/net/SenderFixture.java
@@ -47,6 +47,8 @@
     boolean known = true;
     volatile BiConsumer<String, Object[]> beforeEvent = (event, arguments) -> { };
     int fleet = 1;
+    /** Whether a second copy of a message may be out. */
+    boolean copies;
     final CountDownLatch killed = new CountDownLatch(1);
     /** Endpoints of other destinations, numbered on from the two. */
     volatile int others;
@@ -128,11 +130,11 @@
                  "limits":{"memory_mb":192,"sockets":256,"disk_mb":3},"known":%s,
                  "settings":{"classes":[%s],"tenants":[{"name":"acme"}],"flavors":["m"],"zones":["a"],
                   "family_info":{"workers":10,"batch_by_kind":[1],"separate_routes":[false]},
-                  "fleet_size":%d,"limits":{"most_tries":12,"second_copies":false,"cancel":true,"max_open":%d,
+                  "fleet_size":%d,"limits":{"most_tries":12,"second_copies":%s,"cancel":true,"max_open":%d,
                    "dial_timeout_ms":1000,"keepalive_ms":15000},
                   "rules":{"start_capacity":0.2,"warm_after_ms":12000,"fall_multiple":2,"fall_ms":1500}}}
                 """.formatted(listen, agent.hostPort(), known ? list() : "null", classes, fleet,
-                        MAX_OPEN));
+                        copies, MAX_OPEN));
         return Config.read(Map.of("GW_CONFIG", file.toString(), "GW_STATE", folder.resolve("state").toString(),
                 "TMPDIR", folder.toString()));
     }
