Give up the handover's socket before the new process can have its own there

What callers saw: after an upgrade a second one could not reach the process that serves; the new process never listened. Cause: on 'own' the old process closed its listener, and the close deletes what stands at its path, by then the new process's socket (a race with its bind). Change: the old process closes it before it sends the state, and listens again if it goes on.

--- a/src/main/java/kestreldeal/net/Handover.java
+++ b/src/main/java/kestreldeal/net/Handover.java
@@ -66,6 +66,10 @@
     /** From now on a new version may ask; a socket that an earlier process left there is no one's. */
     void listen(Path at) {
         path = at;
+        listen();
+    }
+
+    private void listen() {
         try {
             Files.deleteIfExists(path);
         } catch (IOException e) {
@@ -87,15 +91,11 @@
                 }).channel();
     }
 
-    /** The process ends: unless a new one has its own there, the socket goes too. */
+    /** The process ends: its socket goes too. */
     void close() {
-        if (listener != null && phase != Phase.LEFT) {
+        if (listener != null && listener.isOpen()) {
+            // With it goes what stands at its path.
             listener.close();
-            try {
-                Files.deleteIfExists(path);
-            } catch (IOException e) {
-                Log.line("a socket is left behind: " + e.getMessage());
-            }
         }
     }
 
@@ -143,7 +143,6 @@
         } else if (what.equals("own") && phase == Phase.LEAVING) {
             phase = Phase.LEFT;
             kept.clear();
-            listener.close();
             estate.left();
         } else if (what.equals("cancel")) {
             estate.cancel(node.path("message").asLong(), node.path("attempt").asInt());
@@ -168,6 +167,8 @@
 
     private void leave(ObjectNode state) {
         phase = Phase.LEAVING;
+        // Before the new process can have its own there: closing deletes what stands at the path.
+        listener.close();
         if (link == null) {
             goOn();
         } else {
@@ -210,6 +211,7 @@
         }
         Log.line("the new version failed before it owned; this one goes on");
         phase = Phase.OWNING;
+        listen();
         unanswered.clear();
         List<Runnable> here = new ArrayList<>(kept);
         kept.clear();
