Keep the order of a key, and wake held back tries, over a handover

What callers saw: the next message of a key went while a call of the one before could still run, or the key stood still for good; a try that the throttle held back was not made after an upgrade. Cause: Logic.remember counted calls that are out only for messages that are not over, so the key's count went to -1 with their end; Throttle.restore set no wake. Change: a call that is out counts for its key, whoever made it; the throttle asks for its wake.

--- a/src/main/java/kestreldeal/KeyOrder.java
+++ b/src/main/java/kestreldeal/KeyOrder.java
@@ -77,9 +77,9 @@
         timers.add(restUntil, () -> { });
     }
 
-    /** A call of a message begins. */
+    /** A call of a message begins, or is out: also of one that is over, which its key waits for all the same. */
     void attemptSent(Item item) {
-        line(item).ifPresent(line -> line.out++);
+        item.orderKey().ifPresent(key -> lines.computeIfAbsent(key, k -> new Line()).out++);
     }
 
     /** A call of a message has ended in this way. */
--- a/src/main/java/kestreldeal/Throttle.java
+++ b/src/main/java/kestreldeal/Throttle.java
@@ -34,7 +34,11 @@
     /** An extra send has been made. */
     void sent() {
         extraSends.add();
-        timers.add(clock.getAsDouble() + periodMs + timers.marginMs(), () -> { });
+        wakeAfterPeriod(clock.getAsDouble());
+    }
+
+    private void wakeAfterPeriod(double from) {
+        timers.add(from + periodMs + timers.marginMs(), () -> { });
     }
 
     /** Whether another extra send may be made now. */
@@ -50,5 +54,6 @@
     /** So many extra sends were made in the period up to this time, as another process tells. */
     void restore(int count, double at) {
         extraSends.restore(count, at);
+        wakeAfterPeriod(at);
     }
 }
--- a/src/test/java/kestreldeal/Bench.java
+++ b/src/test/java/kestreldeal/Bench.java
@@ -15,6 +15,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import kestreldeal.Relay.Effect;
 import kestreldeal.Relay.Outcome;
 
@@ -44,6 +45,8 @@
     boolean heardAtOnce = true;
     double listedRate;
     double now;
+    /** The caller fails when it is told the answer of this message. */
+    long unanswerable = -1;
 
     private final PriorityQueue<Due> due =
             new PriorityQueue<>(Comparator.comparingDouble(Due::at).thenComparingLong(Due::number));
@@ -148,12 +151,23 @@
 
     /** Goes on where another instance was, some time ago by the clock. */
     void takeOver(Bench old, double agoMs) {
+        takeOver(old, agoMs, memory -> memory);
+    }
+
+    /** The same, with what becomes of the memory on its way. */
+    void takeOver(Bench old, double agoMs, UnaryOperator<Relay.Memory> passed) {
         attempts.putAll(old.attempts);
         messages.putAll(old.messages);
-        relay.remember(now, now - agoMs, old.relay.memory(old.now));
+        ends.putAll(old.ends);
+        over.addAll(old.over);
+        relay.remember(now, now - agoMs, passed.apply(old.relay.memory(old.now)));
         relay.endTurn(now);
     }
 
+    boolean isOver(long id) {
+        return over.contains(id);
+    }
+
     void end(long message, int attempt, Outcome outcome) {
         end(message, attempt, outcome, 0);
     }
@@ -303,6 +317,9 @@
     }
 
     private boolean answer(String what, long message) {
+        if (message == unanswerable) {
+            throw new IllegalStateException("a fault of the test's");
+        }
         assertTrue(over.add(message), "a second answer");
         answers.add(what + message);
         return heardAtOnce;
--- /dev/null
+++ b/src/test/java/kestreldeal/HandoverMemoryTest.java
@@ -0,0 +1,292 @@
+package kestreldeal;
+
+import static kestreldeal.MessageClasses.KEYED;
+import static kestreldeal.MessageClasses.SAFE;
+import static kestreldeal.MessageClasses.UNSAFE;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import kestreldeal.Relay.Outcome;
+import org.junit.jupiter.api.Test;
+
+/** Each state in which a message may be handed over: the module of the next process ends it in its time. */
+class HandoverMemoryTest {
+    private static final JsonMapper JSON = JsonMapper.builder().addModule(new Jdk8Module()).build();
+
+    /** As it passes between two processes. */
+    private static Relay.Memory passed(Relay.Memory memory) {
+        try {
+            return JSON.readValue(JSON.valueToTree(memory).toString(), Relay.Memory.class);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Two endpoints of one destination, and one that takes nothing: what is sent to the latter waits. */
+    private static Bench world(Bench b) {
+        return b.list(1, 10, 11).entry(20, 2, 0, 0, false);
+    }
+
+    private static Bench successor(Bench old) {
+        Bench b = world(new Bench());
+        b.takeOver(old, 0, HandoverMemoryTest::passed);
+        return b;
+    }
+
+    private static Bench withCopyOut() {
+        Bench old = world(new Bench());
+        old.take(1, SAFE, 1);
+        old.until(1100);
+        assertEquals(List.of(1L, 1L), old.sent(), "its copy is out");
+        return old;
+    }
+
+    private static void isEndedInTime(Bench b, long message, double leftMs) {
+        b.until(b.now + leftMs + 300);
+        assertTrue(b.answers.contains("refuse " + message), "message " + message + " has no end: " + b.answers);
+    }
+
+    @Test
+    void whatWaitsBehindAMessageWhoseCopyHasEndedIsNotForgottenByTheNextProcess() {
+        Bench old = withCopyOut();
+        old.end(1, 1, Outcome.FULL);
+        old.take(2, SAFE, 2);
+        isEndedInTime(successor(old), 2, 16_000);
+    }
+
+    @Test
+    void aMessageWhoseCopyHasEndedEndsInTheNextProcess() {
+        Bench old = withCopyOut();
+        old.end(1, 1, Outcome.NOT_SENT);
+        Bench b = successor(old);
+        b.until(5000);
+        b.onSend = s -> b.endLater(s, Outcome.DELIVERED, 10);
+        b.end(1, 0, Outcome.TIMED_OUT);
+        b.until(b.now + 5000);
+        b.allAnswered();
+    }
+
+    @Test
+    void whatWaitsBehindAMessageWhoseFirstAttemptHasEndedIsNotForgottenByTheNextProcess() {
+        Bench old = withCopyOut();
+        old.end(1, 0, Outcome.FULL);
+        old.take(2, SAFE, 2);
+        isEndedInTime(successor(old), 2, 16_000);
+    }
+
+    @Test
+    void whatWaitsBehindAMessageWithBothAttemptsOutIsNotForgottenByTheNextProcess() {
+        Bench old = withCopyOut();
+        old.take(2, SAFE, 2);
+        isEndedInTime(successor(old), 2, 16_000);
+    }
+
+    @Test
+    void whatWaitsBehindADeliveredMessageWhoseCopyIsStillOutIsNotForgottenByTheNextProcess() {
+        Bench old = withCopyOut();
+        old.end(1, 0, Outcome.DELIVERED);
+        old.take(2, SAFE, 2);
+        isEndedInTime(successor(old), 2, 16_000);
+    }
+
+    @Test
+    void whatWaitsForItsBackoffIsNotForgottenByTheNextProcess() {
+        Bench old = world(new Bench());
+        old.take(1, SAFE, 1);
+        old.end(1, 0, Outcome.FULL, 300);
+        Bench b = successor(old);
+        b.onSend = s -> b.endLater(s, Outcome.DELIVERED, 10);
+        b.until(16_300);
+        b.allAnswered();
+    }
+
+    @Test
+    void whatIsOverdueAtTheHandoverIsEndedByTheNextProcess() {
+        Bench old = world(new Bench());
+        old.take(1, UNSAFE, 1);
+        old.until(16_010);
+        old.take(2, SAFE, 2);
+        Bench b = successor(old);
+        b.end(1, 0, Outcome.NOT_SENT);
+        assertEquals(List.of("refuse 1"), b.answers);
+        isEndedInTime(b, 2, 16_000);
+    }
+
+    @Test
+    void whatTheOldProcessLeftInAnOpenCallIsEndedByTheNextProcess() {
+        Bench old = world(new Bench());
+        old.take(1, KEYED, 1);
+        old.relay.attemptEnded(old.now, new Relay.AttemptEnd(1, 0, Outcome.TIMED_OUT, 10, false, 0, true));
+        old.relay.endTurn(old.now);
+        Bench b = successor(old);
+        b.onSend = s -> b.endLater(s, Outcome.DELIVERED, 10);
+        b.until(3000);
+        b.allAnswered();
+        b.relay.callClosed(b.now, 1);
+    }
+
+    @Test
+    void aKeyInOrderGoesOnWhenItsEndedMessageWasInAnOpenCallAtTheHandover() {
+        Bench old = world(new Bench());
+        old.take(1, UNSAFE, 1, "k");
+        old.relay.attemptEnded(old.now, new Relay.AttemptEnd(1, 0, Outcome.TIMED_OUT, 10, false, 0, true));
+        old.relay.endTurn(old.now);
+        assertEquals(List.of("fail 1"), old.answers);
+        old.take(2, UNSAFE, 1, "k");
+        assertEquals(List.of(1L), old.sent(), "the key waits for the open call");
+        Bench b = successor(old);
+        b.until(2000);
+        assertEquals(List.of(), b.sent(), "the key waits for the open call here too");
+        b.relay.callClosed(b.now, 1);
+        b.relay.endTurn(b.now);
+        b.until(3000);
+        assertEquals(List.of(2L), b.sent(), "the key goes on once the call is closed");
+    }
+
+    @Test
+    void aKeyInOrderGoesOnWhenItsWithdrawnMessageWasOutAtTheHandover() {
+        Bench old = world(new Bench());
+        old.take(1, UNSAFE, 1, "k");
+        old.withdraw(1);
+        old.take(2, UNSAFE, 1, "k");
+        assertEquals(List.of(1L), old.sent(), "the key waits for the attempt that is out");
+        Bench b = successor(old);
+        b.until(1000);
+        assertEquals(List.of(), b.sent(), "the key waits for the attempt here too");
+        b.end(1, 0, Outcome.NOT_SENT);
+        b.until(2000);
+        assertEquals(List.of(2L), b.sent(), "the key goes on once the attempt has ended");
+    }
+
+    @Test
+    void aKeyInOrderIsNotStuckAfterAnEndedMessageOfItWasOutAtTheHandover() {
+        Bench old = world(new Bench());
+        old.take(1, UNSAFE, 1, "k");
+        old.withdraw(1);
+        Bench b = successor(old);
+        b.take(2, UNSAFE, 2, "k");
+        b.end(1, 0, Outcome.NOT_SENT);
+        b.until(17_000);
+        assertEquals(List.of("refuse 2"), b.answers);
+        b.take(3, UNSAFE, 1, "k");
+        b.until(18_000);
+        assertEquals(List.of(3L), b.sent(), "nothing of its key is out or waits before it");
+    }
+
+    /** Without other events: nothing but time lets it go. */
+    @Test
+    void aNewTryThatTheThrottleHoldsBackAtTheHandoverIsMadeByTheNextProcessOnceThereIsRoom() {
+        Bench old = world(new Bench());
+        for (long id = 1; id <= 2; id++) {
+            old.take(id, SAFE, 1);
+        }
+        old.onSend = s -> old.endLater(s, Outcome.FULL, 10);
+        old.end(1, 0, Outcome.FULL);
+        old.end(2, 0, Outcome.FULL);
+        old.until(3000);
+        Bench b = successor(old);
+        b.onSend = s -> b.endLater(s, Outcome.DELIVERED, 10);
+        b.until(12_900);
+        assertFalse(b.sends.isEmpty(), "the period is over after 10 s, and there are 3 s left");
+    }
+
+    @Test
+    void aMessageWhoseEndFailsDoesNotKeepThoseAtItsSideFromTheirs() {
+        Bench b = world(new Bench());
+        b.unanswerable = 1;
+        b.take(1, SAFE, 2);
+        b.take(2, SAFE, 2);
+        untilPastFaults(b, 16_300);
+        assertEquals(List.of("refuse 2"), b.answers);
+    }
+
+    @Test
+    void aMessageWhoseEndFailsInTheNextProcessDoesNotKeepThoseBehindItFromTheirs() {
+        Bench old = world(new Bench());
+        old.take(1, SAFE, 2);
+        old.until(16_000);
+        old.take(2, SAFE, 2);
+        old.answers.clear();
+        Relay.Memory memory = passed(old.relay.memory(old.now));
+        Relay.MessageMemory second = memory.messages().get(memory.messages().size() - 1);
+        Relay.MessageMemory overdue = new Relay.MessageMemory(new Relay.Message(1, SAFE, 0, second.message().key(), -10,
+                2), 0, 0, false, false, false, 0, List.of());
+        Bench b = world(new Bench());
+        b.unanswerable = 1;
+        try {
+            b.takeOver(old, 0, m -> new Relay.Memory(m.endpoints(), List.of(overdue, second), m.keyRests(),
+                    m.firstSends(), m.copies(), m.retries()));
+        } catch (IllegalStateException fault) {
+            b.at(b.now, () -> b.relay.endTurn(b.now));
+        }
+        untilPastFaults(b, 16_300);
+        assertEquals(List.of("refuse 2"), b.answers);
+    }
+
+    /** As the sender does: what the module throws ends its turn, and is noted. */
+    private static void untilPastFaults(Bench b, double end) {
+        while (b.now < end - 10) {
+            try {
+                b.until(end);
+            } catch (IllegalStateException fault) {
+                // The next turn is asked for by the module alone.
+            }
+        }
+    }
+
+    @Test
+    void atWhateverMomentAModuleIsHandedOverEachMessageEndsInItsTime() {
+        List<String> failed = new ArrayList<>();
+        for (long seed = 1; seed <= 300; seed++) {
+            try {
+                handedOverAtRandom(seed);
+            } catch (RuntimeException | AssertionError e) {
+                failed.add("seed " + seed + ": " + e);
+            }
+        }
+        assertEquals(List.of(), failed, failed.size() + " of 300 moments");
+    }
+
+    private static void handedOverAtRandom(long seed) {
+        Random random = new Random(seed);
+        Bench old = world(new Bench());
+        old.onSend = s -> endAtRandom(old, s, random);
+        double end = 500 + random.nextInt(6000);
+        for (long id = 1; old.now < end; id++) {
+            old.take(id, random.nextInt(4), random.nextInt(8) == 0 ? 2 : 1, "key " + random.nextInt(6));
+            old.until(old.now + 20 + random.nextInt(300));
+        }
+        Bench b = world(new Bench());
+        b.onSend = s -> endAtRandom(b, s, random);
+        Relay.Memory memory = passed(old.relay.memory(old.now));
+        b.takeOver(old, 0, m -> memory);
+        for (Relay.MessageMemory m : memory.messages()) {
+            for (int i = 0; i < m.attempts().size(); i++) {
+                if (m.attempts().get(i).out()) {
+                    endAtRandom(b, new Bench.Sent(m.message().id(), i, 0, 0,
+                            Math.max(1, Math.min(5000, m.message().timeLeftMs()))), random);
+                }
+            }
+        }
+        b.until(16_300);
+        for (Relay.MessageMemory m : memory.messages()) {
+            assertTrue(m.ended() || b.isOver(m.message().id()), "message " + m.message().id() + " has no end");
+        }
+    }
+
+    private static void endAtRandom(Bench b, Bench.Sent s, Random random) {
+        Outcome[] outcomes = {Outcome.DELIVERED, Outcome.DELIVERED, Outcome.FULL, Outcome.ERROR, Outcome.TIMED_OUT,
+            Outcome.NO_CONNECTION, Outcome.UNREACHABLE, Outcome.NOT_SENT};
+        Outcome outcome = outcomes[random.nextInt(outcomes.length)];
+        double took = outcome == Outcome.TIMED_OUT ? s.timeout() : 1 + random.nextInt(1500);
+        b.endLater(s, took >= s.timeout() ? Outcome.TIMED_OUT : outcome, Math.min(took, s.timeout()));
+    }
+}
