--- a/src/test/java/kestreldeal/net/DiscoveryAgent.java
+++ b/src/test/java/kestreldeal/net/DiscoveryAgent.java
@@ -24,10 +24,11 @@
     static final String DELETED = "DELETED";
     private static final Pattern WATCH = Pattern.compile("GET /v1/servers\\?after=(-?\\d+)&wait_ms=(\\d+) .*");
 
-    private record Server(String id, String hostPort, String lifecycle, int version) {
+    private record Server(String id, String hostPort, int destination, String lifecycle, int version) {
         String json() {
-            return ("{\"instanceId\":\"%s\",\"hostPort\":\"%s\",\"zone\":\"a\",\"machineType\":\"m\",\"cell\":7,"
-                    + "\"lifecycle\":\"%s\",\"weight\":1.0,\"startedAtMs\":0}").formatted(id, hostPort, lifecycle);
+            return ("{\"instanceId\":\"%s\",\"hostPort\":\"%s\",\"zone\":\"a\",\"machineType\":\"m\",\"cell\":%d,"
+                    + "\"lifecycle\":\"%s\",\"weight\":1.0,\"startedAtMs\":0}")
+                    .formatted(id, hostPort, destination, lifecycle);
         }
     }
 
@@ -63,13 +64,19 @@
 
     /** Lists a server, in the version that stands. */
     synchronized void list(String id, String hostPort, String lifecycle) {
-        servers.put(id, new Server(id, hostPort, lifecycle, version));
+        list(id, hostPort, TestConfig.DESTINATION, lifecycle);
+    }
+
+    /** The same for a destination of its own. */
+    synchronized void list(String id, String hostPort, int destination, String lifecycle) {
+        servers.put(id, new Server(id, hostPort, destination, lifecycle, version));
     }
 
     /** The next version of the list: this server has this lifecycle now. */
     synchronized void change(String id, String lifecycle) {
         version++;
-        servers.computeIfPresent(id, (same, server) -> new Server(id, server.hostPort, lifecycle, version));
+        servers.computeIfPresent(id, (same, server) -> new Server(id, server.hostPort, server.destination,
+                lifecycle, version));
         notifyAll();
     }
 
--- a/src/test/java/kestreldeal/net/TestConfig.java
+++ b/src/test/java/kestreldeal/net/TestConfig.java
@@ -10,6 +10,8 @@
 
 /** The configuration of a sender, for tests that choose its limits, its classes and its list. */
 final class TestConfig {
+    /** The destination of messages and endpoints where a test names no other. */
+    static final int DESTINATION = 7;
     private static final String NO_LIST = "null";
     private static final String KEYED_CLASS =
             "{\"name\":\"order\",\"aim_ms\":2000,\"give_up_ms\":24000,\"repeat\":\"keyed\",\"window_ms\":20000}";
