Hold up no message by one that can't be sent, and drop what can't be remembered whole

Both tests red before (LogicTest#aMessageThatCanNotBeSentHoldsUpNoOther, HandoverMemoryTest#aMessageThatCanNotBeRememberedIsNotOpen...).

--- a/src/main/java/kestreldeal/KeyOrder.java
+++ b/src/main/java/kestreldeal/KeyOrder.java
@@ -97,6 +97,12 @@
         drop(item);
     }
 
+    /** A message is not known any more, nor are its calls. */
+    void forget(Item item) {
+        line(item).filter(line -> line.waiting.remove(item)).ifPresent(line -> line.out -= item.callsOut());
+        drop(item);
+    }
+
     private void drop(Item item) {
         line(item).filter(line -> line.waiting.isEmpty() && line.out == 0 && line.restUntil <= clock.getAsDouble())
                 .ifPresent(line -> item.orderKey().ifPresent(lines::remove));
--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -213,10 +213,28 @@
         Map<Long, Call> calls = new LinkedHashMap<>();
         memory.keyRests().forEach((key, restIn) -> keys.remember(key, takenAt + restIn));
         Faults faults = new Faults();
-        memory.messages().forEach(m -> faults.collect(() -> remember(m, takenAt, calls)));
+        for (MessageMemory m : memory.messages()) {
+            if (!faults.collect(() -> remember(m, takenAt, calls))) {
+                discard(m.message().id());
+            }
+        }
         faults.rethrow();
     }
 
+    /** What could not be remembered whole is not known here at all. */
+    private void discard(long message) {
+        Delivery d = deliveries.remove(message);
+        if (d == null) {
+            return;
+        }
+        d.ended = true;
+        dequeue(d);
+        for (Attempt attempt : d.attempts) {
+            attempt.call.filter(call -> attempt.out).ifPresent(Call::itemLeft);
+        }
+        keys.forget(d);
+    }
+
     /** A message comes back as it stood: a wave that is out runs on, and what waits waits as before. */
     private void remember(MessageMemory m, double takenAt, Map<Long, Call> calls) {
         Delivery d = new Delivery(m.message(), takenAt);
@@ -470,14 +488,21 @@
             return;
         }
         ranked.sort(Comparator.comparingDouble((Delivery d) -> -d.rank).thenComparingDouble(d -> d.aimAt));
+        Faults faults = new Faults();
         for (Delivery d : ranked) {
-            if (d.destination.open) {
-                choose(d, false).ifPresent(target -> {
-                    send(d, target, false);
-                    d.destination.open = d.destination.isOpen();
-                });
+            if (d.destination.open && !faults.collect(() -> sendWherePossible(d))) {
+                // Its deadline ends it; here it would keep the others waiting in each turn.
+                dequeue(d);
             }
         }
+        faults.rethrow();
+    }
+
+    private void sendWherePossible(Delivery d) {
+        choose(d, false).ifPresent(target -> {
+            send(d, target, false);
+            d.destination.open = d.destination.isOpen();
+        });
     }
 
     /** The endpoint to send to among those that the gate lets pass; a copy goes elsewhere if it can. */
@@ -773,13 +798,17 @@
         }
 
         void itemEnded(AttemptEnd end) {
-            itemsOut--;
             target.limit.told(end.waitMs());
             if (!observed && end.outcome() != Outcome.CANCELLED && end.outcome() != Outcome.NOT_SENT) {
                 observed = true;
                 target.observe(this, end);
             }
             target.usedAt = clock;
+            itemLeft();
+        }
+
+        void itemLeft() {
+            itemsOut--;
             if (itemsOut == 0) {
                 slotsUsed--;
                 target.out--;
--- a/src/test/java/kestreldeal/HandoverMemoryTest.java
+++ b/src/test/java/kestreldeal/HandoverMemoryTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import kestreldeal.Relay.Outcome;
 import org.junit.jupiter.api.Test;
 
@@ -231,6 +232,22 @@
         assertEquals(List.of("refuse 2"), b.answers);
     }
 
+    @Test
+    void aMessageThatCanNotBeRememberedIsNotOpenInTheNextProcess() {
+        Bench old = world(new Bench());
+        old.take(1, SAFE, 2);
+        old.until(15_990);
+        Bench b = world(new Bench());
+        b.until(100);
+        b.unanswerable = 1;
+        try {
+            b.takeOver(old, 50, HandoverMemoryTest::passed);
+        } catch (IllegalStateException fault) {
+            // It is overdue, and its end fails.
+        }
+        assertEquals(Set.of(), b.relay.open(), "it would count as looked after");
+    }
+
     /** As the sender does: what the module throws ends its turn, and is noted. */
     private static void untilPastFaults(Bench b, double end) {
         while (b.now < end - 10) {
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -384,6 +384,20 @@
         assertFalse(b.relay.mayStart(b.now, 1, 0));
     }
 
+    // ---- faults ----
+
+    @Test
+    void aMessageThatCanNotBeSentHoldsUpNoOther() {
+        Bench b = new Bench().list(1, 10);
+        b.onSend = s -> {
+            if (s.message() == 1) {
+                throw new IllegalStateException("a fault of the test's");
+            }
+        };
+        assertThrows(IllegalStateException.class, () -> b.takeTogether(2, SAFE, 1));
+        assertEquals(List.of(1L, 2L), b.sent());
+    }
+
     // ---- the module's size ----
 
     @Test
