Give a handover that fails back whole, and answer at the door whatever the module does

Not forced by tests: retries of the operators' and the handover's listening sockets and of the lock; an end for calls whose start or answer meets a fault; a pause of 0.5 s after a failed handover.

--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -205,6 +205,12 @@
     /** A message, with the time that is left, and its wave. */
     record MessageMemory(Message message, double notBeforeIn, int waves, boolean refused, boolean ended,
                          boolean unheard, int openCalls, List<AttemptMemory> attempts) {
+        /** The same, where its class has this number. */
+        public MessageMemory withClass(int messageClass) {
+            Message renumbered = new Message(message.id(), messageClass, message.tenant(), message.key(),
+                    message.timeLeftMs(), message.destination());
+            return new MessageMemory(renumbered, notBeforeIn, waves, refused, ended, unheard, openCalls, attempts);
+        }
     }
 
     /** How an attempt ended. */
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -736,7 +736,10 @@
             if (exchange != null && exchange.complete) {
                 Exchange ended = exchange;
                 exchange = null;
-                ended.conclude();
+                if (!FaultIsolation.run(ended::conclude)) {
+                    ended.interrupted(Interruption.CONNECTION_LOST);
+                    ended.over();
+                }
                 peer.exchangeEnds();
                 if (ended.keepAlive && ended.isProof()) {
                     rest();
--- a/src/main/java/kestreldeal/net/Handover.java
+++ b/src/main/java/kestreldeal/net/Handover.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
@@ -48,11 +49,19 @@
 
     private enum Phase { OWNING, FREEZING, LEAVING, LEFT }
 
+    /** After a handover that has failed the next one begins no sooner: each stops all decisions for a moment. */
+    private static final long ASK_AGAIN_MS = 500;
+    private static final long LISTEN_AGAIN_MS = 500;
+    /** What could not be had is tried again so often. */
+    private static final long RETRY_MS = 20;
+
     private final EventLoop loop;
     private final Estate estate;
+    private long askAgainNanos = System.nanoTime();
     private Phase phase = Phase.OWNING;
     private Path path;
-    private Channel listener;
+    private Optional<Channel> listener = Optional.empty();
+    private boolean ended;
     private Link link;
     private long questions;
     private final Map<Long, Consumer<JsonNode>> unanswered = new HashMap<>();
@@ -75,7 +84,7 @@
         } catch (IOException e) {
             Log.line("an old socket is in the way of an upgrade: " + e.getMessage());
         }
-        listener = new ServerBootstrap().group(loop, loop).channel(NioServerDomainSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerDomainSocketChannel.class)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -83,20 +92,37 @@
                         mine[0] = new Link(channel, node -> line(mine[0], node), () -> closed(mine[0]));
                     }
                 })
-                .bind(UnixDomainSocketAddress.of(path))
-                .addListener(f -> {
-                    if (!f.isSuccess()) {
-                        Log.line("no upgrade can reach this process: " + f.cause().getMessage());
-                    }
-                }).channel();
+                .bind(UnixDomainSocketAddress.of(path));
+        Connects.whenDone(loop, bound, this::listens);
+    }
+
+    private void listens(ChannelFuture bound) {
+        if (!bound.isSuccess()) {
+            Log.line("no upgrade can reach this process yet: " + bound.cause().getMessage());
+            loop.schedule(this::listenAgain, LISTEN_AGAIN_MS, TimeUnit.MILLISECONDS);
+        } else if (ended || phase != Phase.OWNING) {
+            bound.channel().close();
+        } else {
+            listener = Optional.of(bound.channel());
+        }
+    }
+
+    private void listenAgain() {
+        if (!ended && phase == Phase.OWNING) {
+            listen();
+        }
     }
 
     /** The process ends: its socket goes too. */
     void close() {
-        if (listener != null && listener.isOpen()) {
-            // With it goes what stands at its path.
-            listener.close();
-        }
+        ended = true;
+        closeListener();
+    }
+
+    /** With it goes what stands at its path. */
+    private void closeListener() {
+        listener.ifPresent(Channel::close);
+        listener = Optional.empty();
     }
 
     /** Whether what happens here is to be passed on. */
@@ -155,7 +181,7 @@
     }
 
     private void begin(Link from) {
-        if (phase != Phase.OWNING || !estate.mayLeave()) {
+        if (phase != Phase.OWNING || System.nanoTime() - askAgainNanos < 0 || !estate.mayLeave()) {
             from.close();
             return;
         }
@@ -168,7 +194,7 @@
     private void leave(ObjectNode state) {
         phase = Phase.LEAVING;
         // Before the new process can have its own there: closing deletes what stands at the path.
-        listener.close();
+        closeListener();
         if (link == null) {
             goOn();
         } else {
@@ -180,6 +206,7 @@
     private void stay() {
         Log.line("the state can't be handed over; this process goes on");
         phase = Phase.OWNING;
+        askAgainNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ASK_AGAIN_MS);
         if (link != null) {
             Link asking = link;
             link = null;
@@ -206,11 +233,12 @@
             estate.unfreeze();
         } catch (IOException e) {
             // The new process may still be ending, with the lock in its hands.
-            loop.schedule(this::goOn, 20, TimeUnit.MILLISECONDS);
+            loop.schedule(this::goOn, RETRY_MS, TimeUnit.MILLISECONDS);
             return;
         }
         Log.line("the new version failed before it owned; this one goes on");
         phase = Phase.OWNING;
+        askAgainNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ASK_AGAIN_MS);
         listen();
         unanswered.clear();
         List<Runnable> here = new ArrayList<>(kept);
--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -194,7 +194,10 @@
     /** Begins to listen, also beside another process of this sender. */
     ChannelFuture listen(InetSocketAddress address) {
         ChannelFuture bound = bootstrap.bind(address);
-        listener = (Listener) bound.channel();
+        // Where no socket could be made, the channel of the failed future is none of these.
+        if (bound.channel() instanceof Listener made) {
+            listener = made;
+        }
         return bound;
     }
 
--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -282,9 +282,9 @@
         return file.unwritten();
     }
 
-    /** That process has written nothing; what is known here still stands in the file, and the rest is written again. */
+    /** That process never came to serve: whatever it has written on its way, all that is known here is written anew. */
     void resume() throws IOException {
-        file.reopen();
+        compact();
         paused = false;
     }
 
--- a/src/main/java/kestreldeal/net/JournalFile.java
+++ b/src/main/java/kestreldeal/net/JournalFile.java
@@ -193,10 +193,4 @@
             Log.line("closing the journal: " + e.getMessage());
         }
     }
-
-    /** Takes the file up again after {@link #close}; nobody has written it meanwhile. */
-    void reopen() throws IOException {
-        channel = open();
-        cutTail();
-    }
 }
--- a/src/main/java/kestreldeal/net/Ops.java
+++ b/src/main/java/kestreldeal/net/Ops.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
@@ -77,7 +78,7 @@
     }
 
     /** Begins to listen, and waits until it does: so it is not called on the loop. */
-    InetSocketAddress listen(InetSocketAddress address) {
+    InetSocketAddress listen(InetSocketAddress address) throws IOException {
         return (InetSocketAddress) new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 64)
                 .option(ChannelOption.SO_REUSEADDR, true)
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -28,6 +28,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
@@ -51,10 +52,13 @@
     private static final long WARM_MS = 2300;
     /** Records that the disk did not take are tried again so often. */
     private static final long JOURNAL_RETRY_MS = 100;
+    /** For a moment there may be no socket to listen at. */
+    private static final int MOST_LISTEN_FAILURES = 10;
+    private static final long LISTEN_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     /** A turn that a fault has broken off is followed by another after so long. */
     private static final long FAULT_RETRY_MS = 20;
-    /** After so long the client of a message may come again that a fault has held up until its deadline. */
-    private static final double OVERDUE_RETRY_AFTER_MS = 1000;
+    /** After so long the client of a message may come again that a fault of the program has cost its delivery. */
+    private static final double FAULT_RETRY_AFTER_MS = 1000;
     /** Stands for no message in what passes between two processes. */
     private static final long NO_MESSAGE = -1;
     /** A new version that gets no list in this time takes over with the old process's list. */
@@ -156,7 +160,7 @@
     InetSocketAddress start() throws IOException {
         loop.submit(this::open).syncUninterruptibly();
         if (config.ops().isPresent()) {
-            opsAddress = ops.listen(config.ops().get());
+            opsAddress = listenForOperators(config.ops().get());
             Log.line(config.name() + " takes operators' calls at " + Endpoints.hostPort(opsAddress));
         }
         if (!Files.exists(config.state().resolve("journal")) || takeover.isOwnedElsewhere()) {
@@ -175,6 +179,20 @@
         }
     }
 
+    /** There may be no socket for it for a moment. */
+    private InetSocketAddress listenForOperators(InetSocketAddress address) throws IOException {
+        for (int failures = 0; true; failures++) {
+            try {
+                return ops.listen(address);
+            } catch (IOException | ChannelException e) {
+                if (failures == MOST_LISTEN_FAILURES) {
+                    throw new IOException(e.getMessage(), e);
+                }
+                LockSupport.parkNanos(LISTEN_AGAIN_NANOS);
+            }
+        }
+    }
+
     /** Told to end before it owned anything, this process is not to begin. */
     private void takeOver() {
         if (!closing) {
@@ -206,9 +224,9 @@
 
     /** This process owns the journal from now on: what it holds goes on, with what the old process passed. */
     private void own(StateLock token, Optional<JsonNode> state) throws IOException {
+        lock = token;
         journal = new Journal(config.state(), config.diskBytes(), config.settings().maxAttempts(), unwritten(state));
         watchdog = new DeadlineWatchdog(loop, journal.clock()::nowMs, this::overdue);
-        lock = token;
         journal.whenBehind(this::catchUpLater);
         catchUpLater();
         Optional<Relay.Memory> memory = state.flatMap(this::memory);
@@ -250,19 +268,32 @@
         }, JOURNAL_RETRY_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** What the old process knew, if it can be read and means the same here. */
+    /** What the old process knew, if it can be read. */
     private Optional<Relay.Memory> memory(JsonNode state) {
         List<String> classes = new ArrayList<>();
         state.path("classes").forEach(name -> classes.add(name.asText()));
         try {
-            return classes.equals(config.classes())
-                    ? Optional.of(Link.JSON.treeToValue(state.path("memory"), Relay.Memory.class)) : Optional.empty();
-        } catch (IOException | IllegalArgumentException e) {
+            Relay.Memory memory = Link.JSON.treeToValue(state.path("memory"), Relay.Memory.class);
+            return Optional.of(classes.equals(config.classes()) ? memory : withOwnClasses(memory, classes));
+        } catch (IOException | RuntimeException e) {
             Log.line("the old process's state can't be read, so this is a plain start: " + e.getMessage());
             return Optional.empty();
         }
     }
 
+    /** By the numbers that the classes have here; messages of a class that is gone are left out, and so given up. */
+    private Relay.Memory withOwnClasses(Relay.Memory memory, List<String> classes) {
+        List<Relay.MessageMemory> messages = new ArrayList<>();
+        for (Relay.MessageMemory known : memory.messages()) {
+            int messageClass = config.classes().indexOf(classes.get(known.message().messageClass()));
+            if (messageClass >= 0) {
+                messages.add(known.withClass(messageClass));
+            }
+        }
+        return new Relay.Memory(memory.endpoints(), messages, memory.keyRests(), memory.firstSends(), memory.copies(),
+                memory.retries());
+    }
+
     private void inherit(JsonNode state, Relay.Memory memory) {
         double age = Math.max(0, journal.clock().nowMs() - state.path("at").asLong());
         Set<Long> remembered = new HashSet<>();
@@ -427,7 +458,7 @@
             }
             events.add("overdue", "id", held.id, "class", held.messageClass, "told", held.told, "attempts",
                     held.attempts.size(), "module", relay.open().contains(held.number));
-            giveUp(held, OVERDUE_RETRY_AFTER_MS);
+            giveUp(held, FAULT_RETRY_AFTER_MS);
         });
     }
 
@@ -508,7 +539,12 @@
         Held.Attempt attempt = new Held.Attempt(registry.id(endpoint), journal.clock().nowMs());
         attempt.listGeneration = discovery.generation();
         held.attempts.add(attempt);
-        calls.put(new Out(message, number), endpoints.call(held, number, endpoint, timeoutMs));
+        boolean begun = FaultIsolation.run(
+                () -> calls.put(new Out(message, number), endpoints.call(held, number, endpoint, timeoutMs)));
+        if (!begun) {
+            // The module counts it as out until it has its end.
+            loop.execute(() -> attemptEnded(held, number, Relay.Outcome.NOT_SENT, false, false, 0, 0, false));
+        }
     }
 
     @Override
@@ -845,14 +881,21 @@
         if (open.size() >= config.maxOpen()) {
             return refused(s, "no room", 0);
         }
+        int messageClass = config.classes().indexOf(s.messageClass());
+        long budgetMs = Math.min(s.budgetMs(), (long) config.settings().classes().get(messageClass).deadlineMs());
         Held held = new Held(journal.nextNumber(), s.id(), s.messageClass(), s.tenant(), s.key(), s.thread(),
-                s.destination(), journal.clock().nowMs() + s.budgetMs(), s.body());
+                s.destination(), journal.clock().nowMs() + budgetMs, s.body());
         try {
-            OptionalDouble away = relay.turnsAway(openTurn(),
-                    message(held, config.classes().indexOf(held.messageClass), s.budgetMs()));
+            OptionalDouble away = relay.turnsAway(openTurn(), message(held, messageClass, budgetMs));
             if (away.isPresent()) {
                 return refused(s, "no time for it here", away.getAsDouble());
             }
+        } catch (RuntimeException e) {
+            // Its client was read, and is owed an answer.
+            FaultIsolation.report(e);
+            return refused(s, "not now", FAULT_RETRY_AFTER_MS);
+        }
+        try {
             journal.taken(held);
         } catch (IOException e) {
             return refused(s, "no room", 0);
@@ -1001,13 +1044,14 @@
             watchdog.suspend();
             notices.pause();
             // What is not written yet is the new process's to send; these ends come before what follows.
-            new ArrayList<>(calls.values()).forEach(endpoints::callOffUnsent);
+            new ArrayList<>(calls.values()).forEach(call -> event(() -> endpoints.callOffUnsent(call)));
             loop.execute(() -> {
                 Optional<ObjectNode> state = state();
                 if (state.isPresent()) {
                     logHandover("LEAVING");
                     state.get().put("unwritten", journal.pause());
                     lock.close();
+                    lock = null;
                 } else {
                     goOn();
                 }
@@ -1036,7 +1080,9 @@
 
         @Override
         public void unfreeze() throws IOException {
-            lock = StateLock.take(config.state()).orElseThrow(() -> new IOException("another process owns"));
+            if (lock == null) {
+                lock = StateLock.take(config.state()).orElseThrow(() -> new IOException("another process owns"));
+            }
             journal.resume();
             goOn();
         }
@@ -1090,12 +1136,12 @@
                 then.run();
                 return;
             }
-            intake.listen(config.listen()).addListener((ChannelFuture f) -> {
-                if (f.isSuccess()) {
+            Connects.whenDone(loop, intake.listen(config.listen()), bound -> {
+                if (bound.isSuccess()) {
                     listening = true;
                     then.run();
                 } else {
-                    Log.line("can't listen beside the old process: " + f.cause().getMessage());
+                    Log.line("can't listen: " + bound.cause().getMessage());
                     failed.run();
                 }
             });
@@ -1112,27 +1158,39 @@
         @Override
         public void own(StateLock token, Optional<JsonNode> state) throws IOException {
             Sender.this.own(token, state);
-            listenBeside(() -> serving.complete(intake.address()),
-                    () -> serving.completeExceptionally(new IOException("can't listen at "
-                            + Endpoints.hostPort(config.listen()))));
+            listenAsOwner(0);
+        }
+
+        private void listenAsOwner(int failures) {
+            listenBeside(() -> serving.complete(intake.address()), () -> {
+                if (failures == MOST_LISTEN_FAILURES) {
+                    serving.completeExceptionally(
+                            new IOException("can't listen at " + Endpoints.hostPort(config.listen())));
+                } else {
+                    loop.schedule(() -> listenAsOwner(failures + 1), LISTEN_AGAIN_NANOS, TimeUnit.NANOSECONDS);
+                }
+            });
         }
 
         @Override
-        public void failed(Exception why) {
-            if (lock != null) {
-                letGo();
-            }
+        public void failed(Throwable why) {
+            giveUpOwnership();
             serving.completeExceptionally(why);
         }
 
-        /** What is half begun here is left to whoever owns next; nothing is written or sent any more. */
-        private void letGo() {
+        /** What is half begun here is left to whoever owns next; nothing is taken on, written or sent any more. */
+        private void giveUpOwnership() {
             owner = false;
+            ready = false;
             frozen = true;
             notices.pause();
-            watchdog.suspend();
-            journal.close();
-            lock.close();
+            if (journal != null) {
+                watchdog.suspend();
+                journal.pause();
+            }
+            if (lock != null) {
+                lock.close();
+            }
         }
 
         @Override
@@ -1213,7 +1271,8 @@
                     takeover.tell(reply.put("failed", verdict.decision() == Intake.Decision.FAILED)
                             .put("reason", verdict.reason()).put("waitMs", verdict.waitMs()));
                 }
-            } catch (IOException e) {
+            } catch (IOException | RuntimeException e) {
+                Log.line("a message that the old process passed on can't be taken: " + e);
                 takeover.tell(Link.line("reply").put("n", line.path("n").asLong()).put("reason", "can't be read"));
             }
         }
@@ -1312,6 +1371,8 @@
         loop.submit(() -> {
             if (owner) {
                 journal.close();
+            }
+            if (lock != null) {
                 lock.close();
             }
         }).syncUninterruptibly();
--- a/src/main/java/kestreldeal/net/Takeover.java
+++ b/src/main/java/kestreldeal/net/Takeover.java
@@ -24,6 +24,7 @@
  */
 final class Takeover {
     private static final long AGAIN_MS = 50;
+    private static final int MOST_LOCK_FAILURES = 10;
     /** A partner that does not hand over in this time is asked once more. */
     private static final long SILENT_MS = 2000;
 
@@ -42,7 +43,7 @@
         void own(StateLock lock, Optional<JsonNode> state) throws IOException;
 
         /** It can't own after all. */
-        void failed(Exception why);
+        void failed(Throwable why);
 
         /** The old process reports. */
         void reported(JsonNode line);
@@ -64,6 +65,7 @@
     private boolean owner;
     /** It came to a fault on the way: this process ends, and hears of nothing more. */
     private boolean failed;
+    private int lockFailures;
 
     Takeover(EventLoop loop, Path state, Path socket, Heir heir) {
         this.loop = loop;
@@ -78,7 +80,7 @@
             if (owner) {
                 return;
             }
-            Optional<StateLock> lock = StateLock.take(state);
+            Optional<StateLock> lock = takeLock();
             if (lock.isPresent()) {
                 owner = true;
                 heir.own(lock.get(), Optional.empty());
@@ -87,17 +89,32 @@
             } else {
                 again();
             }
-        } catch (IOException | RuntimeException e) {
+        } catch (IOException | RuntimeException | Error e) {
             fail(e);
         }
     }
 
     /** The lock goes with the process: whoever had it before, or comes next, owns again. */
-    private void fail(Exception why) {
+    private void fail(Throwable why) {
         failed = true;
         heir.failed(why);
     }
 
+    /** For a moment there may be no descriptor for it: a few failures in a row stand for a lock that another has. */
+    private Optional<StateLock> takeLock() throws IOException {
+        try {
+            Optional<StateLock> lock = StateLock.take(state);
+            lockFailures = 0;
+            return lock;
+        } catch (IOException e) {
+            lockFailures++;
+            if (lockFailures > MOST_LOCK_FAILURES) {
+                throw e;
+            }
+            return Optional.empty();
+        }
+    }
+
     /** Whether another process owns the journal now. */
     boolean isOwnedElsewhere() throws IOException {
         Optional<StateLock> lock = StateLock.take(state);
@@ -157,8 +174,14 @@
         } else if (node.path("do").asText().equals("state")) {
             given = true;
             patience.cancel(false);
-            Link from = link;
-            heir.listenBeside(() -> take(from, node), from::close);
+            listenBeside(link, node);
+        }
+    }
+
+    /** Whatever comes of it, the old process hears that this one owns, or has its connection closed and goes on. */
+    private void listenBeside(Link from, JsonNode state) {
+        if (!FaultIsolation.run(() -> heir.listenBeside(() -> take(from, state), from::close))) {
+            from.close();
         }
     }
 
@@ -171,7 +194,7 @@
             return;
         }
         try {
-            Optional<StateLock> lock = StateLock.take(state);
+            Optional<StateLock> lock = takeLock();
             if (lock.isEmpty()) {
                 link.close();
                 return;
@@ -181,7 +204,7 @@
             tell(Link.line("own"));
             early.forEach(report -> FaultIsolation.run(() -> heir.reported(report)));
             early.clear();
-        } catch (IOException | RuntimeException e) {
+        } catch (IOException | RuntimeException | Error e) {
             fail(e);
         }
     }
--- /dev/null
+++ b/src/test/java/kestreldeal/net/HandoverRecoveryTest.java
@@ -0,0 +1,119 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import java.io.IOException;
+import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+
+/** A process that takes everything back, as the new one has failed before it owned, goes on in full. */
+class HandoverRecoveryTest extends SenderFixture {
+    private static final long BYTES = 40_000;
+
+    /** Asks to take over as a new process does, and reads the state; nobody decides anything then. */
+    private SocketChannel takenOver() throws Exception {
+        SocketChannel link = SocketChannel.open(UnixDomainSocketAddress.of(config().handover()));
+        link.write(ByteBuffer.wrap("{\"do\":\"handover\"}\n".getBytes(StandardCharsets.UTF_8)));
+        ByteBuffer part = ByteBuffer.allocate(1 << 16);
+        do {
+            part.clear();
+            assertEquals(true, link.read(part) > 0, "the state");
+        } while (part.get(part.position() - 1) != '\n');
+        return link;
+    }
+
+    private boolean isOwned(Path state) {
+        try {
+            Optional<StateLock> lock = StateLock.take(state);
+            lock.ifPresent(StateLock::close);
+            return lock.isEmpty();
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** As with ENFILE: the first try takes the lock and fails behind it; the next finds the lock taken, by itself. */
+    @Test
+    void aJournalThatCanNotBeOpenedForAMomentIsOpenedAgain() throws Exception {
+        start();
+        Path state = folder.resolve("state");
+        SocketChannel link = takenOver();
+        Files.move(state.resolve("journal"), folder.resolve("away"));
+        Files.createDirectory(state.resolve("journal"));
+        link.close();
+        Stub.await("it has the lock again", () -> isOwned(state));
+        // One exchange with its event loop: the try that took the lock has failed by now.
+        health();
+        Files.delete(state.resolve("journal"));
+        Files.move(folder.resolve("away"), state.resolve("journal"));
+        Stub.await("it takes messages again", this::takesMessages);
+    }
+
+    /** The same without the failure, as a control. */
+    @Test
+    void aProcessThatTakesEverythingBackTakesMessagesAgain() throws Exception {
+        start();
+        takenOver().close();
+        Stub.await("it takes messages again", this::takesMessages);
+    }
+
+    private boolean takesMessages() {
+        try {
+            return ask(client(), message("m" + clients.size(), "plain", "hello")).line().contains("202");
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** The new process writes while it comes to own, and says so only after that: a compacted copy has another length. */
+    @Test
+    void aJournalThatTheNewProcessHasCompactedBeforeItFailedLosesNothing() throws Exception {
+        Path state = folder.resolve("state");
+        try (Journal old = new Journal(state, BYTES, 12)) {
+            old.taken(held(old, "first"));
+            // Close to where it is compacted.
+            for (int i = 0; old.size() < BYTES - 3 * 512 - 600; i++) {
+                old.withdrawn("s-1", i % 2 == 0);
+            }
+            old.pause();
+            try (Journal next = new Journal(state, BYTES, 12)) {
+                // As Sender.own does with the list, before it tells the old process that it owns.
+                for (int i = 0; next.size() > BYTES / 2; i++) {
+                    next.withdrawn("s-2", i % 2 == 0);
+                }
+            }
+            old.resume();
+            old.taken(held(old, "later"));
+        }
+        try (Journal read = new Journal(state, BYTES, 12)) {
+            assertEquals(List.of("first", "later"), read.held().stream().map(held -> held.id).toList());
+        }
+    }
+
+    private static Held held(Journal journal, String id) {
+        return new Held(journal.nextNumber(), id, "plain", "acme", Optional.empty(), Optional.empty(), 7,
+                journal.clock().nowMs() + 10_000, "hello".getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** By the terms, a request that was read and then closed with no answer is lost. */
+    @Test
+    void aRequestWhoseMessageTheModuleFailsOnIsAnswered() throws Exception {
+        start();
+        AtomicBoolean failed = new AtomicBoolean();
+        beforeEvent = (event, arguments) -> {
+            if (event.equals("turnsAway") && failed.compareAndSet(false, true)) {
+                throw new IllegalStateException("a fault of the test's");
+            }
+        };
+        assertNotNull(ask(client(), message("m", "plain", "hello")), "read, and closed with no answer");
+    }
+}
--- /dev/null
+++ b/src/test/java/kestreldeal/net/TakeoverListenFaultTest.java
@@ -0,0 +1,131 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.bootstrap.AbstractBootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelFactory;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.lang.reflect.Field;
+import java.net.InetSocketAddress;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The new process of an upgrade can't make its listening socket for a moment, while the old one has let go of all. */
+class TakeoverListenFaultTest {
+    @TempDir
+    private Path folder;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+
+    @AfterEach
+    void close() {
+        group.shutdownGracefully().syncUninterruptibly();
+    }
+
+    /** A new process that fails where it is told to. */
+    private static class FailingHeir implements Takeover.Heir {
+        final AtomicInteger asked = new AtomicInteger();
+        final AtomicInteger failures = new AtomicInteger();
+
+        @Override
+        public boolean prepared() {
+            return true;
+        }
+
+        @Override
+        public void listenBeside(Runnable then, Runnable failed) {
+            asked.incrementAndGet();
+            throw new ClassCastException("as Intake.listen throws where no socket can be made");
+        }
+
+        @Override
+        public void listenNoMore() {
+            // It never listens.
+        }
+
+        @Override
+        public void own(StateLock lock, Optional<JsonNode> state) {
+            throw new OutOfMemoryError("as where the state does not fit beside the old process");
+        }
+
+        @Override
+        public void failed(Throwable why) {
+            failures.incrementAndGet();
+        }
+
+        @Override
+        public void reported(JsonNode line) {
+            // Nothing is reported.
+        }
+
+        @Override
+        public void gone() {
+            // It never owns.
+        }
+    }
+
+    /** An error leaves the process with the lock, and nobody that lets go of it: the old process waits for it for good. */
+    @Test
+    void anErrorOnTheWayToOwningIsToldAsAFailure() throws Exception {
+        FailingHeir heir = new FailingHeir();
+        Takeover takeover = new Takeover(loop, folder, folder.resolve("socket"), heir);
+        loop.submit(takeover::begin).await();
+        assertEquals(1, heir.failures.get());
+    }
+
+    /** What is thrown on the way to listening, where the old process waits for "own" or for the end of the link. */
+    @Test
+    @Timeout(30)
+    void aFaultInListeningGivesEverythingBackToTheOldProcess() throws Exception {
+        FailingHeir heir = new FailingHeir();
+        try (StateLock lock = StateLock.take(folder).orElseThrow();
+                ServerSocketChannel old = ServerSocketChannel.open(StandardProtocolFamily.UNIX)
+                        .bind(UnixDomainSocketAddress.of(folder.resolve("socket")))) {
+            Takeover takeover = new Takeover(loop, folder, folder.resolve("socket"), heir);
+            loop.execute(takeover::begin);
+            try (SocketChannel link = old.accept()) {
+                link.write(ByteBuffer.wrap("{\"do\":\"state\"}\n".getBytes(StandardCharsets.UTF_8)));
+                Stub.await("it tries to listen", () -> heir.asked.get() == 1);
+                ByteBuffer read = ByteBuffer.allocate(1024);
+                while (link.read(read) >= 0) {
+                    read.clear();
+                }
+                // The link has ended, so the old process goes on; before, this read waits for good.
+            }
+        }
+    }
+
+    /** Netty's channel of a bind that has made no socket is none of ours. */
+    @Test
+    void aSocketThatCanNotBeMadeIsToldAsAFailedBind() throws Exception {
+        Intake intake = new Intake(loop, 10, new RecordingDesk());
+        Field bootstrap = Intake.class.getDeclaredField("bootstrap");
+        bootstrap.setAccessible(true);
+        Field factory = AbstractBootstrap.class.getDeclaredField("channelFactory");
+        factory.setAccessible(true);
+        factory.set((ServerBootstrap) bootstrap.get(intake), (ChannelFactory<?>) () -> {
+            throw new ChannelException("Failed to open a socket: too many open files in system");
+        });
+        Boolean succeeded = assertDoesNotThrow(() -> loop.submit(() ->
+                intake.listen(new InetSocketAddress("127.0.0.1", 0)).isSuccess()).get());
+        assertEquals(false, succeeded);
+    }
+}
--- a/src/test/java/kestreldeal/net/TakeoverTest.java
+++ b/src/test/java/kestreldeal/net/TakeoverTest.java
@@ -61,7 +61,7 @@
         }
 
         @Override
-        public void failed(Exception why) {
+        public void failed(Throwable why) {
             heard.add("failed");
         }
 
