--- a/src/main/java/kestreldeal/KeyOrder.java
+++ b/src/main/java/kestreldeal/KeyOrder.java
@@ -99,7 +99,8 @@
 
     /** A message is not known any more, nor are its calls. */
     void forget(Item item) {
-        line(item).filter(line -> line.waiting.remove(item)).ifPresent(line -> line.out -= item.callsOut());
+        line(item).filter(line -> line.waiting.remove(item))
+                .ifPresent(line -> line.out = Math.max(0, line.out - item.callsOut()));
         drop(item);
     }
 
--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -491,8 +491,8 @@
         Faults faults = new Faults();
         for (Delivery d : ranked) {
             if (d.destination.open && !faults.collect(() -> sendWherePossible(d))) {
-                // Its deadline ends it; here it would keep the others waiting in each turn.
-                dequeue(d);
+                d.notBefore = clock + BACKOFF_MS;
+                timers.add(d.notBefore, () -> { });
             }
         }
         faults.rethrow();
--- a/src/main/java/kestreldeal/net/Handover.java
+++ b/src/main/java/kestreldeal/net/Handover.java
@@ -47,7 +47,16 @@
         void cancel(long message, int attempt);
     }
 
-    private enum Phase { OWNING, FREEZING, LEAVING, LEFT }
+    private enum Phase {
+        OWNING,
+        /** Nothing is decided any more, and the state is being made. */
+        FREEZING,
+        /** The new process has the state, and may own. */
+        LEAVING,
+        /** It does not come to own, and what it was given is being taken back. */
+        RETURNING,
+        LEFT
+    }
 
     /** After a handover that has failed the next one begins no sooner: each stops all decisions for a moment. */
     private static final long ASK_AGAIN_MS = 500;
@@ -127,7 +136,7 @@
 
     /** Whether what happens here is to be passed on. */
     boolean leaving() {
-        return phase == Phase.LEAVING || phase == Phase.LEFT;
+        return phase == Phase.LEAVING || phase == Phase.RETURNING || phase == Phase.LEFT;
     }
 
     /** Whether the new process owns all. */
@@ -142,7 +151,7 @@
 
     /** Passes on what has happened, or does it here if the new process fails before it owns. */
     void tell(ObjectNode line, Runnable here) {
-        if (phase == Phase.LEAVING) {
+        if (phase == Phase.LEAVING || phase == Phase.RETURNING) {
             kept.add(here);
         }
         if (link != null) {
@@ -152,7 +161,7 @@
 
     /** Asks the new process to do something; the answer is missing if that process is gone. */
     void ask(ObjectNode line, Consumer<JsonNode> then, Runnable here) {
-        if (link == null) {
+        if (link == null && phase == Phase.LEFT) {
             then.accept(Link.JSON.missingNode());
             return;
         }
@@ -170,6 +179,8 @@
             phase = Phase.LEFT;
             kept.clear();
             estate.left();
+        } else if (what.equals("declined")) {
+            goOn();
         } else if (what.equals("cancel")) {
             estate.cancel(node.path("message").asLong(), node.path("attempt").asInt());
         } else if (what.equals("reply")) {
@@ -207,6 +218,11 @@
         Log.line("the state can't be handed over; this process goes on");
         phase = Phase.OWNING;
         askAgainNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ASK_AGAIN_MS);
+        closeLink();
+    }
+
+    /** The new process may ask again, or start by itself if there is no other one. */
+    private void closeLink() {
         if (link != null) {
             Link asking = link;
             link = null;
@@ -229,15 +245,23 @@
     }
 
     private void goOn() {
+        if (phase == Phase.LEAVING) {
+            phase = Phase.RETURNING;
+            takeBack();
+        }
+    }
+
+    private void takeBack() {
         try {
             estate.unfreeze();
         } catch (IOException e) {
             // The new process may still be ending, with the lock in its hands.
-            loop.schedule(this::goOn, RETRY_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(this::takeBack, RETRY_MS, TimeUnit.MILLISECONDS);
             return;
         }
         Log.line("the new version failed before it owned; this one goes on");
         phase = Phase.OWNING;
+        closeLink();
         askAgainNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ASK_AGAIN_MS);
         listen();
         unanswered.clear();
--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -160,7 +160,7 @@
     /** Connections between requests, the longest idle first. */
     private final Set<Channel> idle = new LinkedHashSet<>();
     private final ServerBootstrap bootstrap;
-    private Listener listener;
+    private Optional<Listener> listener = Optional.empty();
     private final Set<Channel> clients = new LinkedHashSet<>();
     private boolean closing;
     private boolean draining;
@@ -196,7 +196,7 @@
         ChannelFuture bound = bootstrap.bind(address);
         // Where no socket could be made, the channel of the failed future is none of these.
         if (bound.channel() instanceof Listener made) {
-            listener = made;
+            listener = Optional.of(made);
         }
         return bound;
     }
@@ -256,12 +256,12 @@
 
     /** Takes no new connection for now; {@link #listen} begins again. */
     void listenNoMore() {
-        listener.acceptAllAndClose();
+        listener.ifPresent(Listener::acceptAllAndClose);
     }
 
     /** A new process listens at the address: this one ends its connections, each with its next answer. */
     void leave() {
-        listener.acceptAllAndClose();
+        listener.ifPresent(Listener::acceptAllAndClose);
         left = true;
         sweepLater(SWEEP_AFTER_MS);
     }
@@ -272,7 +272,7 @@
      */
     void close() {
         closing = true;
-        listener.acceptAllAndClose();
+        listener.ifPresent(Listener::acceptAllAndClose);
     }
 
     /**
@@ -309,7 +309,7 @@
 
     /** Where it listens. */
     InetSocketAddress address() {
-        return listener.localAddress();
+        return listener.orElseThrow().localAddress();
     }
 
     /** Connections that clients have open. */
@@ -319,7 +319,7 @@
 
     /** Whether no client has a connection, and none can come any more. */
     boolean hasEnded() {
-        return clients.isEmpty() && !listener.isOpen();
+        return clients.isEmpty() && listener.filter(Listener::isOpen).isEmpty();
     }
 
     /** Makes room for a connection that has just become idle itself; if no other one is, it is the one closed. */
--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -56,6 +56,8 @@
     private Runnable whenBehind = () -> { };
     /** Another process may write the file. */
     private boolean paused;
+    /** Another process has written the file, or may have: nothing may be appended to it before it is replaced. */
+    private boolean outdated;
 
     Journal(Path folder, long diskBytes, int maxAttempts) throws IOException {
         this(folder, diskBytes, maxAttempts, JournalFile.Disk.REAL, TimeSource.SYSTEM);
@@ -262,7 +264,7 @@
     /** Tries to write what the disk did not take; whether all is in the file now. */
     boolean catchUp() {
         try {
-            failIfPaused();
+            prepareToWrite();
             makeRoom(0);
             file.catchUp();
             return true;
@@ -282,10 +284,10 @@
         return file.unwritten();
     }
 
-    /** That process never came to serve: whatever it has written on its way, all that is known here is written anew. */
-    void resume() throws IOException {
-        compact();
+    /** That process never came to serve: if it has written on its way, all that is known here is written anew first. */
+    void resume() {
         paused = false;
+        outdated = !file.reopenUnchanged();
     }
 
     /** All numbers below this one are used. */
@@ -317,7 +319,7 @@
     }
 
     private void append(byte[] record) throws IOException {
-        failIfPaused();
+        prepareToWrite();
         makeRoom(record.length);
         if (file.size() + file.unwrittenBytes() + record.length > bound) {
             throw new IOException("the journal is full");
@@ -344,10 +346,13 @@
         }
     }
 
-    private void failIfPaused() throws IOException {
+    private void prepareToWrite() throws IOException {
         if (paused) {
             throw new IOException("another process may own the journal");
         }
+        if (outdated) {
+            compact();
+        }
     }
 
     /** Compacts the file where otherwise this record would leave no room for a compacted copy beside it. */
@@ -383,6 +388,7 @@
         }
         file.replace(bytes.toByteArray());
         clockRecorded = true;
+        outdated = false;
     }
 
     // ---- reading ----
--- a/src/main/java/kestreldeal/net/JournalFile.java
+++ b/src/main/java/kestreldeal/net/JournalFile.java
@@ -8,8 +8,10 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 
 /**
  * The bytes of the journal: a file that is appended to, and now and then replaced by a shorter copy, on a disk that may
@@ -46,6 +48,7 @@
     private long size;
     /** Bytes of a write that failed may stand behind the end. */
     private boolean tornTail;
+    private Optional<Object> keyAtClose = Optional.empty();
 
     JournalFile(Path file, Path next, Disk disk) throws IOException {
         this.file = file;
@@ -183,9 +186,33 @@
     /** Lets go of the file. */
     @Override
     public void close() {
+        keyAtClose = fileKey();
         close(channel);
     }
 
+    /** Takes the file up again after {@link #close}; false if another process has written it, or that can't be known. */
+    boolean reopenUnchanged() {
+        try {
+            boolean unchanged = !tornTail && keyAtClose.isPresent() && keyAtClose.equals(fileKey())
+                    && Files.size(file) == size;
+            if (unchanged) {
+                channel = open();
+            }
+            return unchanged;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Tells a file from another one that has taken its place. */
+    private Optional<Object> fileKey() {
+        try {
+            return Optional.ofNullable(Files.readAttributes(file, BasicFileAttributes.class).fileKey());
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
     private static void close(FileChannel channel) {
         try {
             channel.close();
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -1164,8 +1164,7 @@
         private void listenAsOwner(int failures) {
             listenBeside(() -> serving.complete(intake.address()), () -> {
                 if (failures == MOST_LISTEN_FAILURES) {
-                    serving.completeExceptionally(
-                            new IOException("can't listen at " + Endpoints.hostPort(config.listen())));
+                    failed(new IOException("can't listen at " + Endpoints.hostPort(config.listen())));
                 } else {
                     loop.schedule(() -> listenAsOwner(failures + 1), LISTEN_AGAIN_NANOS, TimeUnit.NANOSECONDS);
                 }
--- a/src/main/java/kestreldeal/net/Takeover.java
+++ b/src/main/java/kestreldeal/net/Takeover.java
@@ -117,7 +117,7 @@
 
     /** Whether another process owns the journal now. */
     boolean isOwnedElsewhere() throws IOException {
-        Optional<StateLock> lock = StateLock.take(state);
+        Optional<StateLock> lock = takeLock();
         lock.ifPresent(StateLock::close);
         return lock.isEmpty();
     }
@@ -178,10 +178,21 @@
         }
     }
 
-    /** Whatever comes of it, the old process hears that this one owns, or has its connection closed and goes on. */
+    /** Whatever comes of it, the old process hears that this one owns, or that it does not come to. */
     private void listenBeside(Link from, JsonNode state) {
-        if (!FaultIsolation.run(() -> heir.listenBeside(() -> take(from, state), from::close))) {
-            from.close();
+        if (!FaultIsolation.run(() -> heir.listenBeside(() -> take(from, state), () -> decline(from)))) {
+            decline(from);
+        }
+    }
+
+    /**
+     * The old process has let go of the lock, and takes it back before it closes the connection: until then this one must
+     * not take it for free. One that knows no such line, or hangs, is left after a while.
+     */
+    private void decline(Link from) {
+        if (link == from) {
+            from.send(Link.line("declined"));
+            patience = loop.schedule(from::close, SILENT_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -196,7 +207,7 @@
         try {
             Optional<StateLock> lock = takeLock();
             if (lock.isEmpty()) {
-                link.close();
+                decline(from);
                 return;
             }
             owner = true;
--- a/src/test/java/kestreldeal/net/HandoverRecoveryTest.java
+++ b/src/test/java/kestreldeal/net/HandoverRecoveryTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.UnixDomainSocketAddress;
@@ -12,6 +13,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
@@ -116,4 +118,51 @@
         };
         assertNotNull(ask(client(), message("m", "plain", "hello")), "read, and closed with no answer");
     }
+
+    /** No compacted copy can be made; the file itself can be appended to. */
+    private SocketChannel takenOverWithNoRoomForACopy() throws Exception {
+        SocketChannel link = takenOver();
+        Files.createDirectories(folder.resolve("state/journal.next/in-the-way"));
+        return link;
+    }
+
+    @Test
+    void aProcessThatTakesEverythingBackTakesMessagesThoughThereIsNoRoomForACopy() throws Exception {
+        start();
+        takenOverWithNoRoomForACopy().close();
+        Stub.await("it takes messages again", this::takesMessages);
+    }
+
+    @Test
+    void aMessageIsEndedInTimeThoughThereIsNoRoomForACopy() throws Exception {
+        long budgetMs = 2400;
+        script(Stub.silent());
+        start();
+        long handedInAt = System.nanoTime();
+        String request = message("late", "plain", "hello").replace("X-Budget-Ms: 24000", "X-Budget-Ms: " + budgetMs);
+        assertEquals("HTTP/1.1 202 Accepted", ask(client(), request).line());
+        takenOverWithNoRoomForACopy().close();
+        Stub.await("the notice", () -> notices.stream().anyMatch(notice -> notice.contains("late")));
+        long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - handedInAt);
+        assertTrue(tookMs <= budgetMs + 350, "it took " + tookMs + " ms");
+    }
+
+    @Test
+    void aDiskThatFailsForAWhileDoesNotKeepTheJournalFromGoingOn() throws Exception {
+        FailingDisk disk = new FailingDisk();
+        Path state = folder.resolve("state");
+        try (Journal old = new Journal(state, BYTES, 12, disk, TimeSource.SYSTEM)) {
+            Held held = held(old, "ended");
+            old.taken(held);
+            old.pause();
+            disk.room = 0;
+            old.resume();
+            old.ended(held);
+            disk.mend();
+            assertTrue(old.catchUp());
+        }
+        try (Journal read = new Journal(state, BYTES, 12)) {
+            assertEquals(0, read.held().size());
+        }
+    }
 }
--- a/src/test/java/kestreldeal/net/TakeoverListenFaultTest.java
+++ b/src/test/java/kestreldeal/net/TakeoverListenFaultTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.bootstrap.AbstractBootstrap;
@@ -113,6 +114,36 @@
         }
     }
 
+    /** The old process, alive and with its calls out, has still to take its lock back. */
+    @Test
+    @Timeout(30)
+    void aNewProcessThatGaveUpStartsBesideNoOldOneThatHasStillToTakeItsLock() throws Exception {
+        AtomicInteger owned = new AtomicInteger();
+        FailingHeir heir = new FailingHeir() {
+            @Override
+            public void own(StateLock lock, Optional<JsonNode> state) {
+                owned.incrementAndGet();
+            }
+        };
+        StateLock lock = StateLock.take(folder).orElseThrow();
+        try (ServerSocketChannel old = ServerSocketChannel.open(StandardProtocolFamily.UNIX)
+                .bind(UnixDomainSocketAddress.of(folder.resolve("socket")))) {
+            Takeover takeover = new Takeover(loop, folder, folder.resolve("socket"), heir);
+            loop.execute(takeover::begin);
+            try (SocketChannel link = old.accept()) {
+                lock.close();
+                link.write(ByteBuffer.wrap("{\"do\":\"state\"}\n".getBytes(StandardCharsets.UTF_8)));
+                ByteBuffer read = ByteBuffer.allocate(1024);
+                while (!new String(read.array(), StandardCharsets.UTF_8).contains("{\"do\":\"declined\"}\n")) {
+                    assertTrue(link.read(read) >= 0, "the link has ended, and the lock is free");
+                }
+                loop.submit(takeover::hasPartner).sync();
+                assertEquals(0, owned.get());
+            }
+            Stub.await("it owns once the old process has gone", () -> owned.get() == 1);
+        }
+    }
+
     /** Netty's channel of a bind that has made no socket is none of ours. */
     @Test
     void aSocketThatCanNotBeMadeIsToldAsAFailedBind() throws Exception {
