End what would run out of time in a handover before it, and tell its notices from the old process

Cause: from the freeze on nobody decides until the new process owns, and the old one's notices were paused for it to repeat. Change: before the state is made, what waits and falls due within a second (a quarter of its class's time at most) gets its final answer; the old process tells what is owed once itself, and the new one repeats it, which does no harm. HandoverRecoveryTest#aMessageWhoseTimeRunsOutInAHandover... red without the call (no notice while the link is open); HandoverMemoryTest tests the choice. Not covered: what is out at the handover and times out in it.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -126,6 +126,8 @@
     private static final double FEE_MS = 25_000;
     /** A copy that is due while the list may be out of date is looked at again after this. */
     private static final double COPY_RECHECK_MS = 10;
+    /** For a handover a message gives up no more than this share of its time. */
+    private static final double HANDOVER_SHARE = 0.25;
     /** Time before the deadline at which a message that is not out is answered. */
     private static final double ANSWER_MARGIN_MS = 5;
 
@@ -194,6 +196,16 @@
                 .collect(Collectors.toSet());
     }
 
+    @Override
+    public void handingOver(double now, double pauseMs) {
+        tick(now);
+        for (Delivery d : List.copyOf(queue)) {
+            if (d.deadline - clock <= Math.min(pauseMs, HANDOVER_SHARE * d.type.deadlineMs())) {
+                finish(d);
+            }
+        }
+    }
+
     @Override
     public Memory memory(double now) {
         tick(now);
@@ -215,18 +227,14 @@
         Faults faults = new Faults();
         for (MessageMemory m : memory.messages()) {
             if (!faults.collect(() -> remember(m, takenAt, calls))) {
-                discard(m.message().id());
+                Optional.ofNullable(deliveries.remove(m.message().id())).ifPresent(this::discard);
             }
         }
         faults.rethrow();
     }
 
     /** What could not be remembered whole is not known here at all. */
-    private void discard(long message) {
-        Delivery d = deliveries.remove(message);
-        if (d == null) {
-            return;
-        }
+    private void discard(Delivery d) {
         d.ended = true;
         dequeue(d);
         for (Attempt attempt : d.attempts) {
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -97,6 +97,12 @@
     /** The messages that it has been told of and has not ended. */
     Set<Long> open();
 
+    /**
+     * Another process is about to take over, and nobody decides anything for so long, as far as can be expected. What waits
+     * and would run out of time meanwhile gets its final answer now.
+     */
+    void handingOver(double now, double pauseMs);
+
     /** All that this instance knows and a journal does not hold, for the process that takes over from this one. */
     Memory memory(double now);
 
--- a/src/main/java/kestreldeal/net/Notices.java
+++ b/src/main/java/kestreldeal/net/Notices.java
@@ -38,6 +38,8 @@
     private final Consumer<Held> heard;
     private final ObjectMapper json = JsonMapper.builder().build();
     private final Deque<Held> owed = new ArrayDeque<>();
+    /** Of those, what is still to be told once while another process takes over. */
+    private final Deque<Held> untold = new ArrayDeque<>();
     private boolean asking;
     private boolean paused;
     /** The platform could not read the last request: the next holds one notice, to find which it is. */
@@ -55,14 +57,23 @@
         go();
     }
 
-    /** Another process tells what is owed from now on; an answer that is still to come counts for nothing. */
+    /**
+     * Another process tells what is owed from now on, and hears the answers. As it has still to begin, what is owed by now
+     * is told once from here too.
+     */
     void pause() {
         paused = true;
+        untold.addAll(owed);
+        if (!asking && !untold.isEmpty()) {
+            asking = true;
+            loop.execute(this::tell);
+        }
     }
 
     /** That process failed: all that is owed is told again. */
     void resume() {
         paused = false;
+        untold.clear();
         go();
     }
 
@@ -85,13 +96,14 @@
     }
 
     private void tell() {
-        if (paused) {
+        Deque<Held> waiting = paused ? untold : owed;
+        if (waiting.isEmpty()) {
             asking = false;
             return;
         }
         List<Held> told = new ArrayList<>();
         ByteBuf body = Unpooled.buffer();
-        for (Held held : owed) {
+        for (Held held : waiting) {
             byte[] line = line(held);
             if (!told.isEmpty() && (single || body.readableBytes() + line.length > LONGEST_BODY)) {
                 break;
@@ -101,7 +113,22 @@
         }
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/reports",
                 body);
-        agent.ask(request, SILENT_MS, answer -> answered(told, answer));
+        if (paused) {
+            told.forEach(held -> untold.remove());
+            agent.ask(request, SILENT_MS, answer -> answeredWhilePaused());
+        } else {
+            agent.ask(request, SILENT_MS, answer -> answered(told, answer));
+        }
+    }
+
+    /** The answer counts for nothing: the other process tells it all again. */
+    private void answeredWhilePaused() {
+        if (paused) {
+            tell();
+        } else {
+            asking = false;
+            go();
+        }
     }
 
     private byte[] line(Held held) {
@@ -116,7 +143,7 @@
 
     private void answered(List<Held> told, Optional<FullHttpResponse> answer) {
         if (paused) {
-            asking = false;
+            answeredWhilePaused();
             return;
         }
         int status = answer.map(a -> a.status().code()).orElse(0);
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -52,6 +52,8 @@
     private static final long WARM_MS = 2300;
     /** Records that the disk did not take are tried again so often. */
     private static final long JOURNAL_RETRY_MS = 100;
+    /** So long it may take on a busy machine until the new process of an upgrade decides, and is heard by the platform. */
+    private static final double HANDOVER_PAUSE_MS = 1000;
     /** For a moment there may be no socket to listen at. */
     private static final int MOST_LISTEN_FAILURES = 10;
     private static final long LISTEN_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
@@ -1042,10 +1044,11 @@
             logHandover("FREEZING");
             frozen = true;
             watchdog.suspend();
-            notices.pause();
             // What is not written yet is the new process's to send; these ends come before what follows.
             new ArrayList<>(calls.values()).forEach(call -> event(() -> endpoints.callOffUnsent(call)));
             loop.execute(() -> {
+                event(() -> relay.handingOver(openTurn(), HANDOVER_PAUSE_MS));
+                notices.pause();
                 Optional<ObjectNode> state = state();
                 if (state.isPresent()) {
                     logHandover("LEAVING");
--- a/src/test/java/kestreldeal/HandoverMemoryTest.java
+++ b/src/test/java/kestreldeal/HandoverMemoryTest.java
@@ -248,6 +248,18 @@
         assertEquals(Set.of(), b.relay.open(), "it would count as looked after");
     }
 
+    @Test
+    void whatWaitsAndWouldRunOutOfTimeInTheHandoverIsAnsweredBeforeIt() {
+        Bench old = world(new Bench());
+        old.take(1, SAFE, 2);
+        old.until(1000);
+        old.take(2, SAFE, 2);
+        old.until(15_500);
+        old.relay.handingOver(old.now, 1000);
+        assertEquals(List.of("refuse 1"), old.answers);
+        assertEquals(Set.of(2L), old.relay.open());
+    }
+
     /** As the sender does: what the module throws ends its turn, and is noted. */
     private static void untilPastFaults(Bench b, double end) {
         while (b.now < end - 10) {
--- a/src/test/java/kestreldeal/net/HandoverRecoveryTest.java
+++ b/src/test/java/kestreldeal/net/HandoverRecoveryTest.java
@@ -119,6 +119,23 @@
         assertNotNull(ask(client(), message("m", "plain", "hello")), "read, and closed with no answer");
     }
 
+    /** The new process has its state and is slow to own: nobody decides anything. */
+    @Test
+    void aMessageWhoseTimeRunsOutInAHandoverIsEndedInTime() throws Exception {
+        long budgetMs = 1300;
+        states = "DRAINING DRAINING";
+        start();
+        long handedInAt = System.nanoTime();
+        String request = message("late", "plain", "hello").replace("X-Budget-Ms: 24000", "X-Budget-Ms: " + budgetMs);
+        assertEquals("HTTP/1.1 202 Accepted", ask(client(), request).line());
+        try (SocketChannel link = takenOver()) {
+            Stub.await("the notice", () -> notices.stream().anyMatch(notice -> notice.contains("late")));
+            long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - handedInAt);
+            assertTrue(tookMs <= budgetMs + 350, "it took " + tookMs + " ms");
+            assertTrue(link.isOpen());
+        }
+    }
+
     /** No compacted copy can be made; the file itself can be appended to. */
     private SocketChannel takenOverWithNoRoomForACopy() throws Exception {
         SocketChannel link = takenOver();
