--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -94,8 +94,11 @@
         /** The exchange of a call that ended while it was open is over. */
         void closed(Call call);
 
-        /** A connection to an endpoint has ended; {@code underRequest}: with a request on it that was not answered. */
-        default void connectionClosed(long endpoint, CloseReason reason, boolean underRequest) {
+        /**
+         * A connection to an endpoint has ended; {@code underRequest}: with a request on it that was not answered.
+         * {@code cause}: what the system said, or nothing.
+         */
+        default void connectionClosed(long endpoint, CloseReason reason, boolean underRequest, String cause) {
         }
     }
 
@@ -663,6 +666,8 @@
         private boolean interim;
         /** Why this side closed it, if it did. */
         private CloseReason closedFor = CloseReason.PEER;
+        /** What the system said of its end, if anything. */
+        private String cause = "";
 
         /** The handlers of a new connection: what comes is looked at before and after the codec. */
         private void addTo(ChannelPipeline pipeline) {
@@ -776,7 +781,7 @@
                 idle--;
             }
             if (peer != null) {
-                ends.connectionClosed(peer.endpoint, closedFor, exchange != null);
+                ends.connectionClosed(peer.endpoint, closedFor, exchange != null, cause);
             }
             if (exchange != null) {
                 Exchange broken = exchange;
@@ -786,9 +791,10 @@
         }
 
         @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (!(cause instanceof IOException)) {
-                Log.line("fault in a connection to an endpoint, which is closed: " + cause);
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable fault) {
+            cause = fault.toString();
+            if (!(fault instanceof IOException)) {
+                Log.line("fault in a connection to an endpoint, which is closed: " + fault);
             }
             ctx.close();
         }
--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -133,8 +133,17 @@
         default void rejected(HttpResponseStatus status, String reason) {
         }
 
-        /** A client's connection was closed from here, other than behind an answer. */
-        default void closed(CloseReason reason) {
+        /**
+         * A client's connection has ended, other than behind an answer that says so or between requests by the client.
+         *
+         * @param underRequest whether a part of a request had come over it that was not answered
+         * @param cause what the system said, or nothing
+         */
+        default void closed(CloseReason reason, boolean underRequest, String cause) {
+        }
+
+        /** A connection could not be accepted. */
+        default void acceptFailed(Exception cause) {
         }
     }
 
@@ -151,9 +160,14 @@
         /** Its request was not whole in time. */
         REQUEST_NOT_WHOLE,
         /** The connection broke, or what came over it can't be read. */
-        BROKEN
+        BROKEN,
+        /** The client ended it in the middle of a request. */
+        PEER
     }
 
+    /** Stands for a close that the system gave no reason for. */
+    private static final String NO_CAUSE = "";
+
     private final EventLoop loop;
     private final Desk desk;
     private final int mostClients;
@@ -239,7 +253,7 @@
             if (read > 0 && !haveRoom(accepted.size())) {
                 Channel refused = (Channel) accepted.remove(accepted.size() - 1);
                 refused.unsafe().closeForcibly();
-                desk.closed(CloseReason.NO_ROOM);
+                desk.closed(CloseReason.NO_ROOM, false, NO_CAUSE);
             }
             return read;
         }
@@ -332,7 +346,11 @@
     }
 
     private void close(Channel client, CloseReason reason) {
-        desk.closed(reason);
+        close(client, reason, NO_CAUSE);
+    }
+
+    private void close(Channel client, CloseReason reason, String cause) {
+        client.pipeline().get(Client.class).closes(client, reason, cause);
         client.close();
     }
 
@@ -348,8 +366,8 @@
         }
 
         @Override
-        void expired() {
-            desk.closed(CloseReason.REQUEST_NOT_WHOLE);
+        void expired(ChannelHandlerContext ctx) {
+            ctx.pipeline().get(Client.class).closes(ctx.channel(), CloseReason.REQUEST_NOT_WHOLE, NO_CAUSE);
         }
     }
 
@@ -373,6 +391,16 @@
     private final class Client extends SimpleChannelInboundHandler<FullHttpRequest> {
         /** Its last answer is written: what it still sends is no request. */
         private boolean ended;
+        /** Why it is closed is told. */
+        private boolean closeTold;
+
+        /** Tells once why this connection ends. */
+        private void closes(Channel client, CloseReason reason, String cause) {
+            if (!closeTold && !ended) {
+                closeTold = true;
+                desk.closed(reason, clients.contains(client) && !idle.contains(client), cause);
+            }
+        }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
@@ -385,6 +413,9 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            if (!idle.contains(ctx.channel())) {
+                closes(ctx.channel(), CloseReason.PEER, NO_CAUSE);
+            }
             clients.remove(ctx.channel());
             idle.remove(ctx.channel());
         }
@@ -465,7 +496,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            close(ctx.channel(), CloseReason.BROKEN);
+            close(ctx.channel(), CloseReason.BROKEN, cause.toString());
         }
     }
 
--- a/src/main/java/kestreldeal/net/Notices.java
+++ b/src/main/java/kestreldeal/net/Notices.java
@@ -36,6 +36,7 @@
     private final EventLoop loop;
     private final Agent agent;
     private final Consumer<Held> heard;
+    private final EventLog events = EventLog.ofThisProcess();
     private final ObjectMapper json = JsonMapper.builder().build();
     private final Deque<Held> owed = new ArrayDeque<>();
     /** Of those, what is still to be told once while another process takes over. */
@@ -162,6 +163,8 @@
         } else if (status == 204 || unreadable) {
             tell();
         } else {
+            events.add("notice-failed", "status", status, "notices", told.size(), "owed", owed.size(), "here",
+                    agent.failedHere());
             loop.schedule(this::tell, PAUSE_MS, TimeUnit.MILLISECONDS);
         }
     }
--- a/src/main/java/kestreldeal/net/RequestDeadline.java
+++ b/src/main/java/kestreldeal/net/RequestDeadline.java
@@ -23,7 +23,7 @@
     }
 
     /** The connection is about to be closed, as its request did not become whole in time. */
-    void expired() {
+    void expired(ChannelHandlerContext ctx) {
         // For those who say why they close.
     }
 
@@ -51,7 +51,7 @@
             Future<?>[] mine = new Future<?>[1];
             mine[0] = Due.in(ctx.executor(), limitMs, TimeUnit.MILLISECONDS, () -> {
                 if (timer == mine[0]) {
-                    expired();
+                    expired(ctx);
                     ctx.close();
                 }
             });
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -222,6 +222,7 @@
         discovery = new Discovery(loop, new Agent(loop, discoveryAddress), new Random(config.seed()), list, listLease);
         discovery.start(config.known());
         listLease.start();
+        new LoopMonitor(loop, events).start();
     }
 
     /** This process owns the journal from now on: what it holds goes on, with what the old process passed. */
@@ -673,9 +674,9 @@
         }
 
         @Override
-        public void connectionClosed(long endpoint, Endpoints.CloseReason reason, boolean underRequest) {
+        public void connectionClosed(long endpoint, Endpoints.CloseReason reason, boolean underRequest, String cause) {
             events.add("connection-closed", "endpoint", registry.id(endpoint), "reason", reason, "under_request",
-                    underRequest);
+                    underRequest, "cause", cause);
         }
 
         @Override
@@ -834,8 +835,13 @@
         }
 
         @Override
-        public void closed(Intake.CloseReason reason) {
-            events.add("client-closed", "reason", reason);
+        public void closed(Intake.CloseReason reason, boolean underRequest, String cause) {
+            events.add("client-closed", "reason", reason, "under_request", underRequest, "cause", cause);
+        }
+
+        @Override
+        public void acceptFailed(Exception cause) {
+            events.add("accept-failed", "cause", cause);
         }
 
         @Override
@@ -900,6 +906,7 @@
         try {
             journal.taken(held);
         } catch (IOException e) {
+            events.add("not-journalled", "id", s.id(), "cause", e);
             return refused(s, "no room", 0);
         }
         addOpen(held);
--- a/src/test/java/kestreldeal/net/EndpointListWaitTest.java
+++ b/src/test/java/kestreldeal/net/EndpointListWaitTest.java
@@ -53,7 +53,7 @@
             }
 
             @Override
-            public void connectionClosed(long endpoint, Endpoints.CloseReason reason, boolean underRequest) {
+            public void connectionClosed(long endpoint, Endpoints.CloseReason reason, boolean underRequest, String cause) {
                 closed.add(reason);
             }
         });
