Reproduce unanswered and unended messages under failing system calls (red)

The real program, with a preloaded library that now also fails open, rename, socket, accept, epoll_wait, reads and writes of sockets, all or each nth, and counts what it failed.

--- /dev/null
+++ b/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
@@ -0,0 +1,100 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import kestreldeal.net.SystemFaults.Call;
+import kestreldeal.net.SystemFaults.Errno;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** A message that was handed in gets its answer and its end though system calls of the sender fail for a moment. */
+class FailingCallsProcessTest extends SenderProcessFixture {
+    private static final int CLIENT_PATIENCE_MS = 400;
+    /** The rule's 300 ms, the 50 ms by which time limits are longer on sockets, and what a busy machine takes. */
+    private static final long LATEST_MS = 300 + 50 + 100;
+    /** Of class {@code brief}. */
+    private static final long BRIEF_MS = 6000;
+
+    private SystemFaults faults;
+
+    @BeforeEach
+    void preload() throws Exception {
+        faults = new SystemFaults(folder, sender);
+        sender.start();
+    }
+
+    private Socket connect() throws IOException {
+        Socket client = new Socket(sender.address().getAddress(), sender.address().getPort());
+        client.setTcpNoDelay(true);
+        client.setSoTimeout(CLIENT_PATIENCE_MS);
+        return client;
+    }
+
+    private static String answer(Socket client) throws IOException {
+        Stub.Message answer = Stub.read(new BufferedInputStream(client.getInputStream()), 0);
+        assertNotNull(answer, "closed with no answer");
+        return answer.line();
+    }
+
+    private static void assertAccepted(Socket client) throws IOException {
+        assertEquals("HTTP/1.1 202 Accepted", answer(client));
+    }
+
+    // ---- reads and writes ----
+
+    @Test
+    void anInterruptedReadEndsNoClientsConnection() throws Exception {
+        try (Socket client = connect()) {
+            faults.failEvery(2, Call.RECEIVE, Errno.EINTR);
+            for (int i = 0; i < 5; i++) {
+                Stub.write(client, TestConfig.message("interrupted-" + i, "safe", "hello"));
+                assertAccepted(client);
+            }
+        }
+        assertTrue(faults.met(Call.RECEIVE) > 0);
+        faults.mendAll();
+        awaitAllEnded();
+        assertEquals(List.of(), agent.notices);
+    }
+
+    // ---- accepting ----
+
+    @ParameterizedTest
+    @EnumSource(names = {"ECONNABORTED", "ENFILE", "ENOBUFS"})
+    void aFailingAcceptHoldsUpNoDeadline(Errno errno) throws Exception {
+        script(Stub.silent());
+        long handedIn = System.nanoTime();
+        String request = TestConfig.message("due", "brief", "hello").replace("X-Budget-Ms: 24000", "X-Budget-Ms: " + BRIEF_MS);
+        assertEquals("HTTP/1.1 202 Accepted", ask(sender.address(), request).line());
+        TimeUnit.MILLISECONDS.sleep(BRIEF_MS - 1000);
+        faults.fail(Call.ACCEPT, errno);
+        try (Socket waiting = connect()) {
+            Stub.await("an accept fails", () -> met(Call.ACCEPT) > 0);
+            Stub.await("its notice", () -> !agent.notices.isEmpty() || elapsedMs(handedIn) > BRIEF_MS + 2 * LATEST_MS);
+            long tookMs = elapsedMs(handedIn);
+            faults.mendAll();
+            assertTrue(tookMs <= BRIEF_MS + LATEST_MS, "no end after " + tookMs + " ms of " + BRIEF_MS);
+        }
+    }
+
+    private static long elapsedMs(long sinceNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos);
+    }
+
+    private long met(Call call) {
+        try {
+            return faults.met(call);
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+}
--- a/src/test/java/kestreldeal/net/SystemFaults.java
+++ b/src/test/java/kestreldeal/net/SystemFaults.java
@@ -3,29 +3,76 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
-/** Steps the wall clock of a sender's process and fails its disk, by a library that is built here and preloaded. */
+/** Steps the wall clock of a sender's process and fails its system calls, by a library that is built here and preloaded. */
 final class SystemFaults {
+    /** A system call that can be made to fail, in the order of the library's counters. */
+    enum Call {
+        /** Writes to the journal. */
+        WRITE,
+        /** Cuts the journal. */
+        TRUNCATE,
+        /** Opens a file of the state folder. */
+        OPEN,
+        /** Renames a file of the state folder. */
+        RENAME,
+        SOCKET,
+        CONNECT,
+        ACCEPT,
+        /** Waits for sockets. */
+        WAIT,
+        /** Reads from a TCP socket. */
+        RECEIVE,
+        /** Writes to a TCP socket. */
+        SEND
+    }
+
+    /** How a call fails: Linux's numbers. */
+    enum Errno {
+        EINTR(4),
+        EIO(5),
+        ENFILE(23),
+        ENOSPC(28),
+        EADDRNOTAVAIL(99),
+        ENETUNREACH(101),
+        ECONNABORTED(103),
+        ENOBUFS(105),
+        ETIMEDOUT(110),
+        EHOSTUNREACH(113);
+
+        private final int number;
+
+        Errno(int number) {
+            this.number = number;
+        }
+    }
+
     private static final long BUILD_S = 60;
-    private static final int ENOSPC = 28;
-    private static final int EIO = 5;
-    private static final int EADDRNOTAVAIL = 99;
+    private static final String ERRNO = "-errno";
+    private static final String EVERY = "-every";
 
     private final Path control;
+    private final Path met;
     private final Map<String, Long> settings = new TreeMap<>();
 
     /** Into each process that {@code sender} starts from now on. */
     SystemFaults(Path folder, SenderProcess sender) throws Exception {
         control = folder.resolve("faults");
+        met = folder.resolve("faults-met");
         write();
-        sender.with("FAULTS_CONTROL", control.toString()).with("LD_PRELOAD", library(folder).toString());
+        Files.write(met, new byte[Call.values().length * Long.BYTES]);
+        sender.with("FAULTS_CONTROL", control.toString()).with("FAULTS_MET", met.toString())
+                .with("LD_PRELOAD", library(folder).toString());
     }
 
     private static Path library(Path folder) throws Exception {
@@ -44,42 +91,92 @@
         set("clock-ms", ms);
     }
 
+    /** Every such call fails from now on. */
+    synchronized void fail(Call call, Errno errno) throws IOException {
+        failEvery(1, call, errno);
+    }
+
+    /** The next such call fails, and from then on each {@code nth}. */
+    synchronized void failEvery(int nth, Call call, Errno errno) throws IOException {
+        settings.put(name(call) + EVERY, (long) nth);
+        set(name(call) + ERRNO, errno.number);
+    }
+
+    /** Such calls fail no more. */
+    synchronized void mend(Call call) throws IOException {
+        settings.remove(name(call) + EVERY);
+        settings.remove(name(call) + ERRNO);
+        write();
+    }
+
+    /** Reads and writes of sockets move so many bytes at most. */
+    synchronized void shortTransfers(int bytes) throws IOException {
+        settings.put("send-most", (long) bytes);
+        set("receive-most", bytes);
+    }
+
+    /** Reads and writes of sockets fail only where this port is on one of the ends. */
+    void onlyAtPort(int port) throws IOException {
+        set("port", port);
+    }
+
+    /** Writes that fail go through up to so many bytes on each socket. */
+    void sendRoom(int bytes) throws IOException {
+        set("send-room", bytes);
+    }
+
+    /** All is well again, but the clock stays as it is. */
+    synchronized void mendAll() throws IOException {
+        settings.keySet().removeIf(name -> !name.equals("clock-ms"));
+        write();
+    }
+
+    /** How many calls have failed so far, in all processes. */
+    long met(Call call) throws IOException {
+        return ByteBuffer.wrap(Files.readAllBytes(met)).order(ByteOrder.nativeOrder())
+                .getLong(call.ordinal() * Long.BYTES);
+    }
+
     /** The disk is full. */
     void diskFull() throws IOException {
-        set("write-errno", ENOSPC);
+        fail(Call.WRITE, Errno.ENOSPC);
     }
 
     /** The disk takes so many more bytes and then nothing, and nothing can be cut off. */
     void diskTears(int bytes) throws IOException {
         settings.put("write-room", (long) bytes);
-        settings.put("truncate-errno", (long) EIO);
-        set("write-errno", EIO);
+        fail(Call.TRUNCATE, Errno.EIO);
+        fail(Call.WRITE, Errno.EIO);
     }
 
     /** No connection can be made from here, for want of a local address. */
     void connectsFail() throws IOException {
-        set("connect-errno", EADDRNOTAVAIL);
+        fail(Call.CONNECT, Errno.EADDRNOTAVAIL);
     }
 
     /** Connections can be made again. */
     void connectsMended() throws IOException {
-        settings.remove("connect-errno");
-        write();
+        mend(Call.CONNECT);
     }
 
     /** The disk is well again. */
-    void diskMended() throws IOException {
-        settings.keySet().removeAll(java.util.List.of("write-errno", "write-room", "truncate-errno"));
-        write();
+    synchronized void diskMended() throws IOException {
+        settings.remove("write-room");
+        mend(Call.TRUNCATE);
+        mend(Call.WRITE);
+    }
+
+    private static String name(Call call) {
+        return call.name().toLowerCase(Locale.ROOT);
     }
 
-    private void set(String name, long value) throws IOException {
+    private synchronized void set(String name, long value) throws IOException {
         settings.put(name, value);
         write();
     }
 
     /** In one piece, as the process reads it at any moment. */
-    private void write() throws IOException {
+    private synchronized void write() throws IOException {
         Path next = control.resolveSibling("faults.next");
         Files.writeString(next, settings.entrySet().stream().map(e -> e.getKey() + " " + e.getValue() + "\n")
                 .collect(Collectors.joining()));
