Accept connections on a loop of their own, and go on at once behind a failed accept

What callers saw: while accept failed with ECONNABORTED no message got its notice, no client its answer and no call its time-out, until the fault was over; behind ENFILE and ENOBUFS clients waited up to a second unread, past their 400 ms; at a shutdown those that waited to be accepted were reset, though their requests were written.

Cause: the JDK repeats an aborted accept inside the native call, here on the event loop that has all deadlines. On any other failure the network library stops accepting for a second. The closing listener broke its last accepts off at the first failure.

Who may have a connection is counted where both threads see it.

--- a/src/main/java/kestreldeal/net/Handover.java
+++ b/src/main/java/kestreldeal/net/Handover.java
@@ -64,6 +64,7 @@
     /** What could not be had is tried again so often. */
     private static final long RETRY_MS = 20;
 
+    private final EventLoop acceptor;
     private final EventLoop loop;
     private final Estate estate;
     private long askAgainNanos = System.nanoTime();
@@ -76,7 +77,14 @@
     private final Map<Long, Consumer<JsonNode>> unanswered = new HashMap<>();
     private final List<Runnable> kept = new ArrayList<>();
 
+    /** Accepts on the loop that also serves the connections, for tests. */
     Handover(EventLoop loop, Estate estate) {
+        this(loop, loop, estate);
+    }
+
+    /** {@code acceptor} accepts connections and does nothing else; {@code loop} serves them. */
+    Handover(EventLoop acceptor, EventLoop loop, Estate estate) {
+        this.acceptor = acceptor;
         this.loop = loop;
         this.estate = estate;
     }
@@ -93,7 +101,7 @@
         } catch (IOException e) {
             Log.line("an old socket is in the way of an upgrade: " + e.getMessage());
         }
-        ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerDomainSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap().group(acceptor, loop).channel(NioServerDomainSocketChannel.class)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -12,7 +12,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -35,7 +34,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -171,22 +169,32 @@
     private final EventLoop loop;
     private final Desk desk;
     private final int mostClients;
+    private final ClientAdmission admission;
     /** Connections between requests, the longest idle first. */
     private final Set<Channel> idle = new LinkedHashSet<>();
     private final ServerBootstrap bootstrap;
-    private Optional<Listener> listener = Optional.empty();
+    private Optional<TcpListener> listener = Optional.empty();
     private final Set<Channel> clients = new LinkedHashSet<>();
     private boolean closing;
     private boolean draining;
     private boolean left;
     private boolean sweepDue;
+    /** Nothing that clients send is read any more. */
+    private boolean readsNoMore;
 
+    /** Accepts on the loop that also serves the connections, for tests. */
     Intake(EventLoop loop, int mostClients, Desk desk) {
+        this(loop, loop, mostClients, desk);
+    }
+
+    /** {@code acceptor} accepts connections and does nothing else; {@code loop} serves them. */
+    Intake(EventLoop acceptor, EventLoop loop, int mostClients, Desk desk) {
         this.loop = loop;
         this.desk = desk;
         this.mostClients = mostClients;
-        bootstrap = new ServerBootstrap().group(loop, loop)
-                .channelFactory(Listener::new)
+        this.admission = new ClientAdmission(mostClients);
+        bootstrap = new ServerBootstrap().group(acceptor, loop)
+                .channelFactory(() -> new TcpListener(new Admission()))
                 .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -209,73 +217,47 @@
     ChannelFuture listen(InetSocketAddress address) {
         ChannelFuture bound = bootstrap.bind(address);
         // Where no socket could be made, the channel of the failed future is none of these.
-        if (bound.channel() instanceof Listener made) {
+        if (bound.channel() instanceof TcpListener made) {
             listener = Optional.of(made);
         }
         return bound;
     }
 
-    /** The listening socket; a new version of this sender may have another at the same address. */
-    private final class Listener extends NioServerSocketChannel {
-        /**
-         * Accepts every connection that has come, then closes. As long as the selector knows the socket, closing it
-         * takes effect only with the next select, and what connects until then is reset. So the selector forgets it
-         * first, and one more select later nothing lies between the last accept and the close.
-         */
-        void acceptAllAndClose() {
-            acceptAll();
-            deregister().addListener(deregistered -> Due.next(loop, () -> {
-                acceptAll();
-                close();
-            }));
-        }
-
-        /** Takes what waits to be accepted, which closing would reset. */
-        private void acceptAll() {
-            List<Object> accepted = new ArrayList<>();
-            try {
-                while (doReadMessages(accepted) > 0) {
-                    // Each call takes one.
-                }
-            } catch (Exception e) {
-                Log.line("accepting: " + e.getMessage());
+    /** Called on the acceptor's thread; the desk is the loop's. */
+    private final class Admission implements TcpListener.Admission {
+        @Override
+        public boolean admit(Channel accepted) {
+            boolean admitted = admission.admit(accepted);
+            if (!admitted) {
+                loop.execute(() -> desk.closed(CloseReason.NO_ROOM, false, NO_CAUSE));
             }
-            accepted.forEach(pipeline()::fireChannelRead);
+            return admitted;
         }
 
-        /**
-         * Accepts one connection. One that has no room is closed unread, before the selector knows it: only so
-         * is its descriptor free again at once.
-         */
         @Override
-        protected int doReadMessages(List<Object> accepted) throws Exception {
-            int read = super.doReadMessages(accepted);
-            if (read > 0 && !haveRoom(accepted.size())) {
-                Channel refused = (Channel) accepted.remove(accepted.size() - 1);
-                refused.unsafe().closeForcibly();
-                desk.closed(CloseReason.NO_ROOM, false, NO_CAUSE);
-            }
-            return read;
+        public void acceptFailed(Exception cause) {
+            loop.execute(() -> desk.acceptFailed(cause));
         }
     }
 
-    /**
-     * Whether so many connections that were just accepted can be had beside the others. Beyond the bound each needs
-     * an idle one that makes room; that one holds its descriptor a little longer, so there may be only a few such.
-     */
-    private boolean haveRoom(int accepted) {
-        int makingRoom = Math.min(idle.size(), DescriptorBudget.ACCEPT_BURST);
-        return clients.size() + accepted <= mostClients + makingRoom;
+    private void nowIdle(Channel client) {
+        idle.add(client);
+        admission.idle(idle.size());
+    }
+
+    private void notIdle(Channel client) {
+        idle.remove(client);
+        admission.idle(idle.size());
     }
 
     /** Takes no new connection for now; {@link #listen} begins again. */
     void listenNoMore() {
-        listener.ifPresent(Listener::acceptAllAndClose);
+        listener.ifPresent(TcpListener::acceptAllAndClose);
     }
 
     /** A new process listens at the address: this one ends its connections, each with its next answer. */
     void leave() {
-        listener.ifPresent(Listener::acceptAllAndClose);
+        listener.ifPresent(TcpListener::acceptAllAndClose);
         left = true;
         sweepLater(SWEEP_AFTER_MS);
     }
@@ -286,7 +268,7 @@
      */
     void close() {
         closing = true;
-        listener.ifPresent(Listener::acceptAllAndClose);
+        listener.ifPresent(TcpListener::acceptAllAndClose);
     }
 
     /**
@@ -294,6 +276,7 @@
      * sent once more by its client.
      */
     void readNoMore() {
+        readsNoMore = true;
         clients.forEach(client -> client.config().setAutoRead(false));
     }
 
@@ -333,15 +316,14 @@
 
     /** Whether no client has a connection, and none can come any more. */
     boolean hasEnded() {
-        return clients.isEmpty() && listener.filter(Listener::isOpen).isEmpty();
+        return clients.isEmpty() && admission.open() == 0 && listener.filter(TcpListener::isOpen).isEmpty();
     }
 
     /** Makes room for a connection that has just become idle itself; if no other one is, it is the one closed. */
     private void closeLongestIdle() {
-        Iterator<Channel> longest = idle.iterator();
-        Channel victim = longest.next();
+        Channel victim = idle.iterator().next();
         // Its end is told only after this burst of connections, each of which needs another victim.
-        longest.remove();
+        notIdle(victim);
         close(victim, CloseReason.MAKES_ROOM);
     }
 
@@ -362,7 +344,7 @@
 
         @Override
         void bytes(ChannelHandlerContext ctx) {
-            idle.remove(ctx.channel());
+            notIdle(ctx.channel());
         }
 
         @Override
@@ -404,8 +386,11 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            idle.add(ctx.channel());
+            nowIdle(ctx.channel());
             clients.add(ctx.channel());
+            if (readsNoMore) {
+                ctx.channel().config().setAutoRead(false);
+            }
             if (clients.size() > mostClients) {
                 closeLongestIdle();
             }
@@ -417,7 +402,7 @@
                 closes(ctx.channel(), CloseReason.PEER, NO_CAUSE);
             }
             clients.remove(ctx.channel());
-            idle.remove(ctx.channel());
+            notIdle(ctx.channel());
         }
 
         @Override
@@ -426,7 +411,7 @@
                 return;
             }
             ctx.pipeline().get(Between.class).whole();
-            idle.remove(ctx.channel());
+            notIdle(ctx.channel());
             String path = request.uri().split("\\?", 2)[0];
             if (request.decoderResult().isFailure()) {
                 end(ctx, request, HttpResponseStatus.BAD_REQUEST, "not HTTP", true);
@@ -481,7 +466,7 @@
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             } else if (ctx.channel().isActive()) {
                 // One that went while its verdict was out would stand here for good, and make no room.
-                idle.add(ctx.channel());
+                nowIdle(ctx.channel());
             }
             ChannelFuture written = ctx.writeAndFlush(answer);
             return last ? written.addListener(ChannelFutureListener.CLOSE) : written;
@@ -496,7 +481,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            close(ctx.channel(), CloseReason.BROKEN, cause.toString());
+            close(ctx.channel(), CloseReason.BROKEN, String.valueOf(cause.getMessage()));
         }
     }
 
--- a/src/main/java/kestreldeal/net/Ops.java
+++ b/src/main/java/kestreldeal/net/Ops.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -67,19 +66,28 @@
         void drain(boolean on, Consumer<Answer> then);
     }
 
+    private final EventLoop acceptor;
     private final EventLoop loop;
     private final Desk desk;
     /** The oldest first. */
     private final Set<Channel> open = new LinkedHashSet<>();
 
+    /** Accepts on the loop that also serves the connections, for tests. */
     Ops(EventLoop loop, Desk desk) {
+        this(loop, loop, desk);
+    }
+
+    /** {@code acceptor} accepts connections and does nothing else; {@code loop} serves them. */
+    Ops(EventLoop acceptor, EventLoop loop, Desk desk) {
+        this.acceptor = acceptor;
         this.loop = loop;
         this.desk = desk;
     }
 
     /** Begins to listen, and waits until it does: so it is not called on the loop. */
     InetSocketAddress listen(InetSocketAddress address) throws IOException {
-        return (InetSocketAddress) new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+        return (InetSocketAddress) new ServerBootstrap().group(acceptor, loop)
+                .channelFactory(() -> new TcpListener(TcpListener.Admission.ALL))
                 .option(ChannelOption.SO_BACKLOG, 64)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -72,6 +72,9 @@
     private final long warmMs;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
+    /** Accepts connections, and does nothing else. */
+    private final EventLoopGroup acceptorGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop acceptor = acceptorGroup.next();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final long startNanos = System.nanoTime();
     private final EndpointRegistry registry = new EndpointRegistry();
@@ -209,9 +212,9 @@
         endpoints = new Endpoints(loop, config.dialMs(), config.settings().keepAliveMs(),
                 config.settings().senders(), budget.idleEndpoints(), new Ends());
         notices = new Notices(loop, new Agent(loop, discoveryAddress), this::heard);
-        intake = new Intake(loop, budget.clients(), new Clients());
-        ops = new Ops(loop, new Orders());
-        handover = new Handover(loop, new Estate());
+        intake = new Intake(acceptor, loop, budget.clients(), new Clients());
+        ops = new Ops(acceptor, loop, new Orders());
+        handover = new Handover(acceptor, loop, new Estate());
         takeover = new Takeover(loop, config.state(), config.handover(), new Heir());
         EndpointList list = new EndpointList(this::listed, events);
         List<Discovery.Source> checks = new ArrayList<>();
@@ -841,7 +844,7 @@
 
         @Override
         public void acceptFailed(Exception cause) {
-            events.add("accept-failed", "cause", cause);
+            events.add("accept-failed", "cause", String.valueOf(cause.getMessage()));
         }
 
         @Override
@@ -906,7 +909,7 @@
         try {
             journal.taken(held);
         } catch (IOException e) {
-            events.add("not-journalled", "id", s.id(), "cause", e);
+            events.add("not-journalled", "id", s.id(), "cause", String.valueOf(e.getMessage()));
             return refused(s, "no room", 0);
         }
         addOpen(held);
@@ -1385,6 +1388,7 @@
                 lock.close();
             }
         }).syncUninterruptibly();
+        acceptorGroup.shutdownGracefully(1, 1000, TimeUnit.MILLISECONDS).syncUninterruptibly();
         // With no quiet time at all the loop may end in the turn in which it is told, its connections still open.
         group.shutdownGracefully(1, 1000, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
--- a/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
+++ b/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
@@ -97,4 +97,36 @@
             throw new AssertionError(e);
         }
     }
+
+    @ParameterizedTest
+    @EnumSource(names = {"ECONNABORTED", "ENFILE", "ENOBUFS"})
+    void aClientThatWaitedForAFailingAcceptIsAnsweredInItsPatience(Errno errno) throws Exception {
+        faults.fail(Call.ACCEPT, errno);
+        try (Socket client = connect()) {
+            Stub.write(client, TestConfig.message("waiting", "safe", "hello"));
+            Stub.await("an accept fails", () -> met(Call.ACCEPT) > 0);
+            TimeUnit.MILLISECONDS.sleep(CLIENT_PATIENCE_MS / 4);
+            faults.mendAll();
+            assertAccepted(client);
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"ECONNABORTED", "ENFILE", "ENOBUFS"})
+    void aClientThatWaitsForAFailingAcceptAtTheShutdownIsAnswered(Errno errno) throws Exception {
+        try (Socket kept = connect()) {
+            // Keeps the process from ending at once.
+            Stub.write(kept, TestConfig.message("kept", "safe", "hello"));
+            assertAccepted(kept);
+            faults.fail(Call.ACCEPT, errno);
+            try (Socket client = connect()) {
+                Stub.write(client, TestConfig.message("waiting", "safe", "hello"));
+                sender.signal("TERM");
+                client.setSoTimeout((int) Sender.CLOSING_MS);
+                TimeUnit.MILLISECONDS.sleep(Sender.TAKING_MS + 200);
+                faults.mendAll();
+                assertTrue(answer(client).startsWith("HTTP/1.1 "));
+            }
+        }
+    }
 }
