--- a/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
+++ b/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
@@ -66,6 +66,22 @@
         assertEquals(List.of(), agent.notices);
     }
 
+    @Test
+    void anInterruptedReadEndsNoCall() throws Exception {
+        script((call, socket) -> {
+            faults.failEvery(2, Call.RECEIVE, Errno.EINTR);
+            accept(call, socket);
+        });
+        for (int i = 0; i < 5; i++) {
+            faults.mendAll();
+            handIn("interrupted-" + i, "unsafe");
+            Stub.await("it is called for", () -> calls().size() > 0);
+        }
+        faults.mendAll();
+        awaitAllEnded();
+        assertEquals(List.of(), agent.notices, "a delivered message counts as one that may not have been");
+    }
+
     // ---- accepting ----
 
     @ParameterizedTest
