Keep a message whose acceptance went out in part before its write failed

What callers saw: 202 was read, and the message was never called for and never ended.

Cause: a failed write of the answer counted as never heard, whatever of it had gone out. With short writes and a broken connection (ETIMEDOUT) the first line is enough for a client to know that it is taken on; the message was dropped.

Change: an answer of which any byte went out may have been heard.

Seen red without it: aClientThatReadItsAcceptanceKeepsItsMessageThoughTheWriteFailedBehindIt (accepted, and never delivered nor ended).

--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -9,6 +9,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelProgressiveFuture;
+import io.netty.channel.ChannelProgressivePromise;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioChannelOption;
@@ -29,6 +32,7 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GenericProgressiveFutureListener;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
@@ -85,7 +89,7 @@
 
     /** The answer to a submission: why, and for how long to stay away, 0 if nothing is known. */
     record Verdict(Decision decision, String reason, double waitMs, Consumer<Boolean> answered) {
-        /** Taken; to be told whether the client has heard so, or never will. */
+        /** Taken; to be told whether the client may have heard so, or never will. */
         static Verdict taken(Consumer<Boolean> answered) {
             return new Verdict(Decision.ACCEPTED, "", 0, answered);
         }
@@ -439,8 +443,9 @@
             boolean close = !HttpUtil.isKeepAlive(request);
             desk.take(submission, verdict -> {
                 if (verdict.taken()) {
-                    end(ctx, close, answer(HttpResponseStatus.ACCEPTED, ""))
-                            .addListener(f -> verdict.answered().accept(f.isSuccess()));
+                    ChannelProgressivePromise written = ctx.newProgressivePromise();
+                    written.addListener(new Hearing(verdict.answered()));
+                    end(ctx, close, answer(HttpResponseStatus.ACCEPTED, ""), written);
                 } else {
                     FullHttpResponse refusal = answer(verdict.decision().status, verdict.reason());
                     if (verdict.waitMs() > 0) {
@@ -460,6 +465,11 @@
         }
 
         private ChannelFuture end(ChannelHandlerContext ctx, boolean close, FullHttpResponse answer) {
+            return end(ctx, close, answer, ctx.newPromise());
+        }
+
+        private ChannelFuture end(ChannelHandlerContext ctx, boolean close, FullHttpResponse answer,
+                ChannelPromise promise) {
             boolean last = close || closing || draining || left;
             if (last) {
                 ended = true;
@@ -468,7 +478,7 @@
                 // One that went while its verdict was out would stand here for good, and make no room.
                 nowIdle(ctx.channel());
             }
-            ChannelFuture written = ctx.writeAndFlush(answer);
+            ChannelFuture written = ctx.writeAndFlush(answer, promise);
             return last ? written.addListener(ChannelFutureListener.CLOSE) : written;
         }
 
@@ -485,6 +495,26 @@
         }
     }
 
+    /** Finds out whether a client may have heard an answer: one of which a part went out, it may have. */
+    private static final class Hearing implements GenericProgressiveFutureListener<ChannelProgressiveFuture> {
+        private final Consumer<Boolean> heard;
+        private boolean begun;
+
+        Hearing(Consumer<Boolean> heard) {
+            this.heard = heard;
+        }
+
+        @Override
+        public void operationProgressed(ChannelProgressiveFuture write, long progress, long total) {
+            begun |= progress > 0;
+        }
+
+        @Override
+        public void operationComplete(ChannelProgressiveFuture write) {
+            heard.accept(begun || write.isSuccess());
+        }
+    }
+
     /** As the protocol has it: with decimals. */
     private static String seconds(double ms) {
         return Double.toString(Math.ceil(ms) / 1000);
--- a/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
+++ b/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
@@ -82,6 +82,21 @@
         assertEquals(List.of(), agent.notices, "a delivered message counts as one that may not have been");
     }
 
+    @Test
+    void aClientThatReadItsAcceptanceKeepsItsMessageThoughTheWriteFailedBehindIt() throws Exception {
+        String firstLine = "HTTP/1.1 202 Accepted\r\n";
+        faults.onlyAtPort(sender.address().getPort());
+        faults.sendRoom(firstLine.length());
+        faults.fail(Call.SEND, Errno.ETIMEDOUT);
+        try (Socket client = connect()) {
+            Stub.write(client, TestConfig.message("heard", "safe", "hello"));
+            assertEquals(firstLine, new String(client.getInputStream().readNBytes(firstLine.length())));
+        }
+        faults.mendAll();
+        awaitAllEnded();
+        assertTrue(callsWith("heard") + agent.notices.size() > 0, "accepted, and never delivered nor ended");
+    }
+
     // ---- accepting ----
 
     @ParameterizedTest
