Go on trying to start while the folder or a socket fails for a moment

What callers saw: a sender that was restarted while its folder or sockets failed did not come back; what it had taken on before was called for by nobody and ended by nobody.

What is wrong with the configuration itself ends the start at once, as before.

Seen red without it: aProcessThatCanNotOpenItsFolderAtFirstStartsAllTheSame, aProcessThatCanMakeNoSocketAtFirstStartsAllTheSame (never said where it listens). TakeoverListenFaultTest, TakeoverTest and ListenFaultTest pass a patience; their assertions are unchanged.

--- a/src/main/java/kestreldeal/net/Config.java
+++ b/src/main/java/kestreldeal/net/Config.java
@@ -33,7 +33,16 @@
     private static final String ASKED_MODE = "ask";
 
     static Config read(Map<String, String> env) throws IOException, BadInput {
-        JsonNode json = json(env);
+        return read(env, new StartRetry(0));
+    }
+
+    /** The same; a file that is there and can't be opened for a moment is opened again. */
+    static Config read(Map<String, String> env, StartRetry retry) throws IOException, BadInput {
+        Path file = Path.of(required(env, "GW_CONFIG"));
+        boolean mayBeOpened = Files.isRegularFile(file) && Files.isReadable(file);
+        byte[] bytes = mayBeOpened ? retry.untilDone("reading the configuration", () -> Files.readAllBytes(file))
+                : Files.readAllBytes(file);
+        JsonNode json = JsonMapper.builder().build().readTree(bytes);
         Map<String, String> values = new HashMap<>();
         flatten("", json.path("settings"), values);
         Params settings = new Params(values);
--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -80,8 +80,7 @@
         this.withdrawn = new WithdrawnEndpoints(bound / WITHDRAWN_SHARE);
         this.messageRoom = (long) maxAttempts * ATTEMPT_ROOM + END_ROOM;
         this.file = new JournalFile(folder.resolve("journal"), folder.resolve("journal.next"), disk);
-        // A torn tail would hide all that is appended behind it.
-        file.endsAt(replay(file.read()));
+        readFile();
         replay(unwritten);
         file.defer(unwritten);
         this.clock = earlierBase.map(base -> SteadyClock.resume(time, base))
@@ -91,6 +90,16 @@
         header();
     }
 
+    /** A torn tail would hide all that is appended behind it. */
+    private void readFile() throws IOException {
+        try {
+            file.endsAt(replay(file.read()));
+        } catch (IOException e) {
+            file.close();
+            throw e;
+        }
+    }
+
     /** The clock by which all times here are kept. */
     SteadyClock clock() {
         return clock;
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -28,7 +27,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
@@ -55,8 +53,7 @@
     /** So long it may take on a busy machine until the new process of an upgrade decides, and is heard by the platform. */
     private static final double HANDOVER_PAUSE_MS = 1000;
     /** For a moment there may be no socket to listen at. */
-    private static final int MOST_LISTEN_FAILURES = 10;
-    private static final long LISTEN_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    private static final long LISTEN_AGAIN_MS = 100;
     /** A turn that a fault has broken off is followed by another after so long. */
     private static final long FAULT_RETRY_MS = 20;
     /** After so long the client of a message may come again that a fault of the program has cost its delivery. */
@@ -70,11 +67,12 @@
     private final long takingMs;
     private final long closingMs;
     private final long warmMs;
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
+    private final StartRetry startRetry;
+    private final EventLoopGroup group;
+    private final EventLoop loop;
     /** Accepts connections, and does nothing else. */
-    private final EventLoopGroup acceptorGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop acceptor = acceptorGroup.next();
+    private final EventLoopGroup acceptorGroup;
+    private final EventLoop acceptor;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final long startNanos = System.nanoTime();
     private final EndpointRegistry registry = new EndpointRegistry();
@@ -117,12 +115,23 @@
     private final Stats stats;
     private final EventLog events = EventLog.ofThisProcess();
 
-    Sender(Config config, long takingMs, long closingMs) {
+    Sender(Config config, long takingMs, long closingMs) throws IOException {
         this(config, takingMs, closingMs, 0, relay -> relay);
     }
 
     /** {@code through} is what the module is told through: tests stand between. */
-    Sender(Config config, long takingMs, long closingMs, long warmMs, UnaryOperator<Relay> through) {
+    Sender(Config config, long takingMs, long closingMs, long warmMs, UnaryOperator<Relay> through)
+            throws IOException {
+        this(config, takingMs, closingMs, warmMs, new StartRetry(StartRetry.PATIENCE_MS), through);
+    }
+
+    Sender(Config config, long takingMs, long closingMs, long warmMs, StartRetry startRetry,
+            UnaryOperator<Relay> through) throws IOException {
+        this.startRetry = startRetry;
+        this.group = newEventLoop();
+        this.loop = group.next();
+        this.acceptorGroup = newEventLoop();
+        this.acceptor = acceptorGroup.next();
         this.config = config;
         this.discoveryAddress = config.discovery();
         this.warmMs = warmMs;
@@ -132,6 +141,11 @@
         this.relay = through.apply(Relay.create(config.settings(), config.seed(), this));
     }
 
+    private EventLoopGroup newEventLoop() throws IOException {
+        return startRetry.untilDone("making an event loop",
+                () -> new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()));
+    }
+
     /** Runs a sender until it is told to end; returns the exit code. */
     public static int serve(Map<String, String> env) {
         try {
@@ -143,7 +157,9 @@
                 // Inherited, and the JVM leaves it so.
                 Log.line("what started this has SIGHUP ignored: no new configuration will be heeded");
             }
-            Sender sender = new Sender(Config.read(env), TAKING_MS, CLOSING_MS, WARM_MS, relay -> relay);
+            StartRetry startRetry = new StartRetry(StartRetry.PATIENCE_MS);
+            Sender sender = new Sender(Config.read(env, startRetry), TAKING_MS, CLOSING_MS, WARM_MS, startRetry,
+                    relay -> relay);
             made.complete(sender);
             // SIGTERM may come at any moment: once the journal is owned, calls and clients are owed their ends.
             Runtime.getRuntime().addShutdownHook(new Thread(sender::drain, "drain"));
@@ -165,7 +181,7 @@
     InetSocketAddress start() throws IOException {
         loop.submit(this::open).syncUninterruptibly();
         if (config.ops().isPresent()) {
-            opsAddress = listenForOperators(config.ops().get());
+            opsAddress = startRetry.untilDone("listening for operators", () -> ops.listen(config.ops().get()));
             Log.line(config.name() + " takes operators' calls at " + Endpoints.hostPort(opsAddress));
         }
         if (!Files.exists(config.state().resolve("journal")) || takeover.isOwnedElsewhere()) {
@@ -184,20 +200,6 @@
         }
     }
 
-    /** There may be no socket for it for a moment. */
-    private InetSocketAddress listenForOperators(InetSocketAddress address) throws IOException {
-        for (int failures = 0; true; failures++) {
-            try {
-                return ops.listen(address);
-            } catch (IOException | ChannelException e) {
-                if (failures == MOST_LISTEN_FAILURES) {
-                    throw new IOException(e.getMessage(), e);
-                }
-                LockSupport.parkNanos(LISTEN_AGAIN_NANOS);
-            }
-        }
-    }
-
     /** Told to end before it owned anything, this process is not to begin. */
     private void takeOver() {
         if (!closing) {
@@ -215,7 +217,7 @@
         intake = new Intake(acceptor, loop, budget.clients(), new Clients());
         ops = new Ops(acceptor, loop, new Orders());
         handover = new Handover(acceptor, loop, new Estate());
-        takeover = new Takeover(loop, config.state(), config.handover(), new Heir());
+        takeover = new Takeover(loop, config.state(), config.handover(), startRetry, new Heir());
         EndpointList list = new EndpointList(this::listed, events);
         List<Discovery.Source> checks = new ArrayList<>();
         for (int i = 0; i < ListLease.MOST_CHECKS; i++) {
@@ -1171,15 +1173,16 @@
         @Override
         public void own(StateLock token, Optional<JsonNode> state) throws IOException {
             Sender.this.own(token, state);
-            listenAsOwner(0);
+            listenAsOwner();
         }
 
-        private void listenAsOwner(int failures) {
+        private void listenAsOwner() {
             listenBeside(() -> serving.complete(intake.address()), () -> {
-                if (failures == MOST_LISTEN_FAILURES) {
-                    failed(new IOException("can't listen at " + Endpoints.hostPort(config.listen())));
+                IOException cause = new IOException("can't listen at " + Endpoints.hostPort(config.listen()));
+                if (startRetry.mayRetry("listening", cause)) {
+                    loop.schedule(this::listenAsOwner, LISTEN_AGAIN_MS, TimeUnit.MILLISECONDS);
                 } else {
-                    loop.schedule(() -> listenAsOwner(failures + 1), LISTEN_AGAIN_NANOS, TimeUnit.NANOSECONDS);
+                    failed(cause);
                 }
             });
         }
--- a/src/main/java/kestreldeal/net/Takeover.java
+++ b/src/main/java/kestreldeal/net/Takeover.java
@@ -24,7 +24,6 @@
  */
 final class Takeover {
     private static final long AGAIN_MS = 50;
-    private static final int MOST_LOCK_FAILURES = 10;
     /** A partner that does not hand over in this time is asked once more. */
     private static final long SILENT_MS = 2000;
 
@@ -65,10 +64,11 @@
     private boolean owner;
     /** It came to a fault on the way: this process ends, and hears of nothing more. */
     private boolean failed;
-    private int lockFailures;
+    private final StartRetry retry;
 
-    Takeover(EventLoop loop, Path state, Path socket, Heir heir) {
+    Takeover(EventLoop loop, Path state, Path socket, StartRetry retry, Heir heir) {
         this.loop = loop;
+        this.retry = retry;
         this.state = state;
         this.socket = socket;
         this.heir = heir;
@@ -83,7 +83,7 @@
             Optional<StateLock> lock = takeLock();
             if (lock.isPresent()) {
                 owner = true;
-                heir.own(lock.get(), Optional.empty());
+                ownAlone(lock.get());
             } else if (heir.prepared()) {
                 connect();
             } else {
@@ -94,21 +94,33 @@
         }
     }
 
+    /** The folder may fail for a moment; its lock is kept meanwhile. */
+    private void ownAlone(StateLock lock) {
+        try {
+            heir.own(lock, Optional.empty());
+        } catch (IOException e) {
+            if (retry.mayRetry("opening the journal", e)) {
+                loop.schedule(() -> ownAlone(lock), AGAIN_MS, TimeUnit.MILLISECONDS);
+            } else {
+                fail(e);
+            }
+        } catch (RuntimeException | Error e) {
+            fail(e);
+        }
+    }
+
     /** The lock goes with the process: whoever had it before, or comes next, owns again. */
     private void fail(Throwable why) {
         failed = true;
         heir.failed(why);
     }
 
-    /** For a moment there may be no descriptor for it: a few failures in a row stand for a lock that another has. */
+    /** For a moment there may be no descriptor for it: such a failure stands for a lock that another has. */
     private Optional<StateLock> takeLock() throws IOException {
         try {
-            Optional<StateLock> lock = StateLock.take(state);
-            lockFailures = 0;
-            return lock;
+            return StateLock.take(state);
         } catch (IOException e) {
-            lockFailures++;
-            if (lockFailures > MOST_LOCK_FAILURES) {
+            if (!retry.mayRetry("taking the lock", e)) {
                 throw e;
             }
             return Optional.empty();
--- a/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
+++ b/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
@@ -24,6 +24,10 @@
     /** Of class {@code brief}. */
     private static final long BRIEF_MS = 6000;
 
+    /** For so long a starting process is refused what it needs. */
+    private static final long START_FAULT_MS = 2500;
+    private static final int TORN_BYTES = 50;
+
     private SystemFaults faults;
 
     @BeforeEach
@@ -160,4 +164,54 @@
             }
         }
     }
+
+    // ---- the start of a process ----
+
+    private void restartThoughFailing(Call call, Errno errno) throws Exception {
+        script(Stub.silent());
+        handIn("owed", "safe");
+        Stub.await("it is called for", () -> callsWith("owed") == 1);
+        script(SenderProcessFixture::accept);
+        if (call == Call.TRUNCATE) {
+            faults.diskTears(TORN_BYTES);
+            assertEquals("503", answerTo("torn", "safe"));
+        }
+        sender.kill();
+        faults.mendAll();
+        faults.fail(call, errno);
+        Thread mender = new Thread(() -> {
+            try {
+                TimeUnit.MILLISECONDS.sleep(START_FAULT_MS);
+                faults.mendAll();
+            } catch (IOException | InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        });
+        mender.start();
+        sender.start();
+        mender.join();
+        awaitAllEnded();
+        assertTrue(met(call) > 0);
+        assertEquals(2, callsWith("owed"));
+    }
+
+    @Test
+    void aProcessThatCanNotOpenItsFolderAtFirstStartsAllTheSame() throws Exception {
+        restartThoughFailing(Call.OPEN, Errno.ENOSPC);
+    }
+
+    @Test
+    void aProcessThatCanNotWriteItsFolderAtFirstStartsAllTheSame() throws Exception {
+        restartThoughFailing(Call.WRITE, Errno.EIO);
+    }
+
+    @Test
+    void aProcessThatCanNotCutItsJournalAtFirstStartsAllTheSame() throws Exception {
+        restartThoughFailing(Call.TRUNCATE, Errno.EIO);
+    }
+
+    @Test
+    void aProcessThatCanMakeNoSocketAtFirstStartsAllTheSame() throws Exception {
+        restartThoughFailing(Call.SOCKET, Errno.ENFILE);
+    }
 }
--- a/src/test/java/kestreldeal/net/ListenFaultTest.java
+++ b/src/test/java/kestreldeal/net/ListenFaultTest.java
@@ -13,6 +13,7 @@
 /** A process that owns the journal and can't make a listening socket. */
 class ListenFaultTest extends SenderFixture {
     private static final long END_MS = 10_000;
+    private static final long START_PATIENCE_MS = 1000;
 
     private static Field field(Class<?> of, String name) throws NoSuchFieldException {
         Field field = of.getDeclaredField(name);
@@ -38,7 +39,7 @@
 
     @Test
     void aProcessThatCanNotListenEnds() throws Exception {
-        sender = new Sender(config(), 100, 500, 0, this::watched);
+        sender = new Sender(config(), 100, 500, 0, new StartRetry(START_PATIENCE_MS), this::watched);
         makeNoSocket();
         assertThrows(IOException.class, sender::start);
         // As the shutdown hook does.
--- a/src/test/java/kestreldeal/net/TakeoverListenFaultTest.java
+++ b/src/test/java/kestreldeal/net/TakeoverListenFaultTest.java
@@ -31,6 +31,8 @@
 
 /** The new process of an upgrade can't make its listening socket for a moment, while the old one has let go of all. */
 class TakeoverListenFaultTest {
+    private static final long START_PATIENCE_MS = 500;
+
     @TempDir
     private Path folder;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -87,7 +89,7 @@
     @Test
     void anErrorOnTheWayToOwningIsToldAsAFailure() throws Exception {
         FailingHeir heir = new FailingHeir();
-        Takeover takeover = new Takeover(loop, folder, folder.resolve("socket"), heir);
+        Takeover takeover = new Takeover(loop, folder, folder.resolve("socket"), new StartRetry(START_PATIENCE_MS), heir);
         loop.submit(takeover::begin).await();
         assertEquals(1, heir.failures.get());
     }
@@ -100,7 +102,7 @@
         try (StateLock lock = StateLock.take(folder).orElseThrow();
                 ServerSocketChannel old = ServerSocketChannel.open(StandardProtocolFamily.UNIX)
                         .bind(UnixDomainSocketAddress.of(folder.resolve("socket")))) {
-            Takeover takeover = new Takeover(loop, folder, folder.resolve("socket"), heir);
+            Takeover takeover = new Takeover(loop, folder, folder.resolve("socket"), new StartRetry(START_PATIENCE_MS), heir);
             loop.execute(takeover::begin);
             try (SocketChannel link = old.accept()) {
                 link.write(ByteBuffer.wrap("{\"do\":\"state\"}\n".getBytes(StandardCharsets.UTF_8)));
@@ -128,7 +130,7 @@
         StateLock lock = StateLock.take(folder).orElseThrow();
         try (ServerSocketChannel old = ServerSocketChannel.open(StandardProtocolFamily.UNIX)
                 .bind(UnixDomainSocketAddress.of(folder.resolve("socket")))) {
-            Takeover takeover = new Takeover(loop, folder, folder.resolve("socket"), heir);
+            Takeover takeover = new Takeover(loop, folder, folder.resolve("socket"), new StartRetry(START_PATIENCE_MS), heir);
             loop.execute(takeover::begin);
             try (SocketChannel link = old.accept()) {
                 lock.close();
--- a/src/test/java/kestreldeal/net/TakeoverTest.java
+++ b/src/test/java/kestreldeal/net/TakeoverTest.java
@@ -25,6 +25,8 @@
 
 /** The new side of an upgrade, with an old process that the test plays. */
 class TakeoverTest {
+    private static final long START_PATIENCE_MS = 500;
+
     @TempDir
     private Path folder;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -84,7 +86,7 @@
         lock = StateLock.take(folder).orElseThrow();
         old = ServerSocketChannel.open(StandardProtocolFamily.UNIX)
                 .bind(UnixDomainSocketAddress.of(folder.resolve("socket")));
-        Takeover takeover = new Takeover(loop, folder, folder.resolve("socket"), heir);
+        Takeover takeover = new Takeover(loop, folder, folder.resolve("socket"), new StartRetry(START_PATIENCE_MS), heir);
         loop.execute(takeover::begin);
     }
 
--- a/src/test/resources/system-faults.c
+++ b/src/test/resources/system-faults.c
@@ -8,7 +8,7 @@
  *   truncate-errno N    so does cutting the journal
  *   open-errno N        no file of the state folder can be opened
  *   rename-errno N      no file of the state folder can be renamed
- *   socket-errno N      no socket can be made
+ *   socket-errno N      no socket can be made, and nothing else that waits for sockets
  *   connect-errno N     no connection can be made
  *   accept-errno N      no connection can be accepted
  *   wait-errno N        waits for sockets end early
@@ -34,6 +34,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -333,6 +334,16 @@
     return fd;
 }
 
+int epoll_create1(int flags) {
+    REAL(epoll_create1)
+    return fails(SOCKET) ? -1 : real(flags);
+}
+
+int eventfd(unsigned int value, int flags) {
+    REAL(eventfd)
+    return fails(SOCKET) ? -1 : real(value, flags);
+}
+
 int accept(int fd, struct sockaddr *address, socklen_t *length) {
     REAL(accept)
     int accepted = fails(ACCEPT) ? -1 : real(fd, address, length);
