--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -282,6 +282,11 @@
         }
     }
 
+    /** Whether something that has happened is not in the file, as the disk did not take it. */
+    boolean isBehind() {
+        return file.unwrittenBytes() > 0;
+    }
+
     /**
      * Lets go of the file, since another process may write it now: nothing is written until {@link #resume}. Returns the
      * records that the disk has not taken, which that process has to know.
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -1357,7 +1357,7 @@
 
     private void awaitIdle(long begun) {
         boolean idle = handover.left() ? calls.isEmpty() && handover.unanswered() == 0 && intake.hasEnded()
-                : open.isEmpty() && notices.owed() == 0 && intake.hasEnded();
+                : open.isEmpty() && notices.owed() == 0 && intake.hasEnded() && !journal.isBehind();
         if (idle) {
             ended();
         } else if (System.nanoTime() - begun >= TimeUnit.MILLISECONDS.toNanos(closingMs)) {
--- a/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
+++ b/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import kestreldeal.net.SystemFaults.Call;
 import kestreldeal.net.SystemFaults.Errno;
@@ -24,6 +25,7 @@
     /** Of class {@code brief}. */
     private static final long BRIEF_MS = 6000;
 
+    private static final long OUTAGE_MS = 1500;
     /** For so long a starting process is refused what it needs. */
     private static final long START_FAULT_MS = 2500;
     private static final int TORN_BYTES = 50;
@@ -165,6 +167,70 @@
         }
     }
 
+    // ---- what is owed meanwhile ----
+
+    /** Refuses the first call and ends its connection; the next ones are accepted. */
+    private void refuseFirst() {
+        script((call, socket) -> {
+            script(SenderProcessFixture::accept);
+            Stub.write(socket, "HTTP/1.1 503 x\r\nRetry-After: 0.3\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+            socket.close();
+        });
+    }
+
+    private void isDeliveredThoughFailing(Call call, Errno errno) throws Exception {
+        refuseFirst();
+        handIn("owed", "unsafe");
+        Stub.await("it is called for", () -> callsWith("owed") == 1);
+        faults.fail(call, errno);
+        TimeUnit.MILLISECONDS.sleep(OUTAGE_MS);
+        assertEquals(1, callsWith("owed"));
+        assertTrue(met(call) > 0);
+        assertEquals(List.of(), agent.notices, "given up for a fault of the sender's own machine");
+        faults.mendAll();
+        awaitAllEnded();
+        assertEquals(2, callsWith("owed"));
+        assertEquals(List.of(), agent.notices);
+    }
+
+    @Test
+    void aMessageIsNotGivenUpWhileItsCallsCanNotBeRecorded() throws Exception {
+        isDeliveredThoughFailing(Call.WRITE, Errno.ENOSPC);
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"EADDRNOTAVAIL", "ENETUNREACH", "ENOBUFS"})
+    void aMessageIsNotGivenUpWhileNoConnectionCanBeMade(Errno errno) throws Exception {
+        isDeliveredThoughFailing(Call.CONNECT, errno);
+    }
+
+    @Test
+    void aMessageIsNotGivenUpWhileNoSocketCanBeMade() throws Exception {
+        isDeliveredThoughFailing(Call.SOCKET, Errno.ENFILE);
+    }
+
+    @Test
+    void whatEndedWhileTheDiskFailedIsNotSentAgainByTheNextProcess() throws Exception {
+        CountDownLatch failing = new CountDownLatch(1);
+        script((call, socket) -> {
+            SenderFixture.awaitLatch(failing);
+            accept(call, socket);
+        });
+        handIn("delivered", "safe");
+        Stub.await("it is called for", () -> callsWith("delivered") == 1);
+        faults.diskFull();
+        failing.countDown();
+        awaitAllEnded();
+        sender.signal("TERM");
+        TimeUnit.MILLISECONDS.sleep(OUTAGE_MS);
+        faults.mendAll();
+        sender.awaitEnd();
+        sender.start();
+        handIn("next", "safe");
+        awaitAllEnded();
+        assertEquals(1, callsWith("delivered"), "sent on after its end");
+    }
+
     // ---- the start of a process ----
 
     private void restartThoughFailing(Call call, Errno errno) throws Exception {
