Decide in one place whether a message may be sent or ended, and check it at run time

MessageRules has the last word right before the first byte of a call, before each end and before a client's connection is closed from here, by the record of the message alone; what it forbids is logged as rule-violated and counted.

One fault came out of it: a connection was closed for idleness 10 s after its request was read, though its answer was still out with the other process of an upgrade; a request that is read and closed unanswered is lost. Forced by aConnectionWhoseRequestIsUnansweredIsNotClosedForIdleness. MessageRulesTest has a message that breaks each rule, and one that only looks like it.

--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -244,6 +244,11 @@
         }
     }
 
+    /** Whether a part of a request has come over it that is not answered. */
+    private boolean isUnderRequest(Channel client) {
+        return clients.contains(client) && !idle.contains(client);
+    }
+
     private void nowIdle(Channel client) {
         idle.add(client);
         admission.idle(idle.size());
@@ -326,9 +331,9 @@
     /** Makes room for a connection that has just become idle itself; if no other one is, it is the one closed. */
     private void closeLongestIdle() {
         Channel victim = idle.iterator().next();
+        close(victim, CloseReason.MAKES_ROOM);
         // Its end is told only after this burst of connections, each of which needs another victim.
         notIdle(victim);
-        close(victim, CloseReason.MAKES_ROOM);
     }
 
     private void close(Channel client, CloseReason reason) {
@@ -336,6 +341,9 @@
     }
 
     private void close(Channel client, CloseReason reason, String cause) {
+        if (!MessageRules.mayClose(reason, isUnderRequest(client))) {
+            return;
+        }
         client.pipeline().get(Client.class).closes(client, reason, cause);
         client.close();
     }
@@ -384,7 +392,7 @@
         private void closes(Channel client, CloseReason reason, String cause) {
             if (!closeTold && !ended) {
                 closeTold = true;
-                desk.closed(reason, clients.contains(client) && !idle.contains(client), cause);
+                desk.closed(reason, isUnderRequest(client), cause);
             }
         }
 
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -79,6 +79,8 @@
     private final OpenMessages open = new OpenMessages();
     /** Ends what the module does not end in time; there is one once the journal, with its clock, is owned. */
     private DeadlineWatchdog watchdog;
+    /** The last word on what may be sent or ended; there is one once the journal is owned. */
+    private MessageRules rules;
     /** Attempts that are out, by message and attempt. */
     private final Map<Out, Endpoints.Call> calls = new HashMap<>();
     private final Relay relay;
@@ -235,6 +237,7 @@
         lock = token;
         journal = new Journal(config.state(), config.diskBytes(), config.settings().maxAttempts(), unwritten(state));
         watchdog = new DeadlineWatchdog(loop, journal.clock()::nowMs, this::overdue);
+        rules = new MessageRules(journal.clock()::nowMs, this::repeats, events);
         journal.whenBehind(this::catchUpLater);
         catchUpLater();
         Optional<Relay.Memory> memory = state.flatMap(this::memory);
@@ -257,6 +260,16 @@
         handover.listen(config.handover());
     }
 
+    /** How messages of a class may be repeated, if the configuration still knows it. */
+    private Optional<MessageRules.Repeats> repeats(String messageClass) {
+        int number = config.classes().indexOf(messageClass);
+        if (number < 0) {
+            return Optional.empty();
+        }
+        Relay.MessageClass known = config.settings().classes().get(number);
+        return Optional.of(new MessageRules.Repeats(known.effect(), known.windowMs()));
+    }
+
     /** Records that the disk did not take from the old process. */
     private static byte[] unwritten(Optional<JsonNode> state) throws IOException {
         return state.isPresent() && state.get().has("unwritten") ? state.get().path("unwritten").binaryValue() : new byte[0];
@@ -594,6 +607,9 @@
     }
 
     private void end(Held held, Held.Notice notice) {
+        if (!rules.mayEnd(held)) {
+            return;
+        }
         over(held, notice.bounced() ? Stats.End.REFUSED : Stats.End.FAILED);
         events.add("notice-owed", "id", held.id, "class", held.messageClass, "bounced", notice.bounced(),
                 "attempts", held.attempts.size(), "left_ms", held.deadlineMs - journal.clock().nowMs());
@@ -622,6 +638,9 @@
         /** Not before: an attempt whose connection was still coming up at a kill has surely not run. */
         @Override
         public boolean begins(Endpoints.Call call) {
+            if (!rules.maySend(call.held, call.attempt)) {
+                return false;
+            }
             try {
                 journal.begins(call.held, call.attempt);
             } catch (IOException e) {
@@ -774,6 +793,7 @@
     /** The platform has answered the notice: only now is the message over. */
     private void heard(Held held) {
         events.add("notice-heard", "id", held.id);
+        rules.heard(held);
         journal.ended(held);
         event(() -> relay.heard(openTurn(), held.number));
     }
--- a/src/test/java/kestreldeal/net/IntakeTest.java
+++ b/src/test/java/kestreldeal/net/IntakeTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
@@ -165,6 +166,22 @@
         }
     }
 
+    @Test
+    void aConnectionWhoseRequestIsUnansweredIsNotClosedForIdleness() {
+        LateDesk late = new LateDesk();
+        EmbeddedChannel client = client(new Intake(new DefaultEventLoop(), 1, late));
+        send(client, request("one", 0));
+        for (int i = 0; i < 3; i++) {
+            pass(client, 10_100);
+            assertTrue(client.isOpen(), "closed with no answer");
+        }
+        late.out.forEach(verdict -> verdict.accept(Intake.Verdict.refused("not now")));
+        client.runPendingTasks();
+        assertTrue(client.<ByteBuf>readOutbound().toString(StandardCharsets.ISO_8859_1).startsWith("HTTP/1.1 503 "));
+        pass(client, 10_100);
+        assertFalse(client.isOpen(), "it is idle now");
+    }
+
     /** The loop is held while more connect than there is room for; then all that wait are accepted at once. */
     @Test
     void whatWaitsAtACloseIsAcceptedAsFarAsThereIsRoomAndTheRestClosedUnread() throws Exception {
--- /dev/null
+++ b/src/test/java/kestreldeal/net/MessageRulesTest.java
@@ -0,0 +1,104 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import java.util.Optional;
+import kestreldeal.Relay.Effect;
+import kestreldeal.net.MessageRules.Repeats;
+import kestreldeal.net.MessageRules.Violation;
+import org.junit.jupiter.api.Test;
+
+/** For each rule a message that breaks it, and one that only looks like it. */
+class MessageRulesTest {
+    private static final long WINDOW_MS = 1000;
+    private static final long DEADLINE_MS = 5000;
+    private static final long LATE_MS = 300;
+    private static final Map<String, Repeats> CLASSES = Map.of("safe", new Repeats(Effect.SAFE, 0), "keyed",
+            new Repeats(Effect.KEYED, WINDOW_MS), "unsafe", new Repeats(Effect.UNSAFE, 0));
+
+    private long nowMs;
+    private final MessageRules rules = new MessageRules(() -> nowMs,
+            name -> Optional.ofNullable(CLASSES.get(name)), EventLog.ofThisProcess());
+
+    /** A message with one attempt that has begun, and one that is about to. */
+    private static Held repeated(String messageClass) {
+        Held held = new Held(1, "id", messageClass, "", Optional.empty(), Optional.empty(), 7, DEADLINE_MS, new byte[0]);
+        held.attempts.add(new Held.Attempt("s-0", 0));
+        held.attempts.get(0).neverRan = false;
+        held.attempts.add(new Held.Attempt("s-1", 0));
+        return held;
+    }
+
+    private void assertForbidden(boolean allowed, Violation violation) {
+        assertFalse(allowed);
+        assertEquals(1, rules.count(violation));
+    }
+
+    @Test
+    void aMessageThatIsOverIsNotSent() {
+        Held over = repeated("safe");
+        assertTrue(rules.maySend(over, 1));
+        over.over = true;
+        assertForbidden(rules.maySend(over, 1), Violation.SENT_AFTER_END);
+    }
+
+    @Test
+    void aMessageWhoseEndIsReadIsNotSent() {
+        Held read = repeated("safe");
+        read.endRead = true;
+        assertForbidden(rules.maySend(read, 1), Violation.SENT_AFTER_END);
+    }
+
+    @Test
+    void whatMayRunOnlyOnceIsNotSentAgainUnlessItNeverRan() {
+        Held once = repeated("unsafe");
+        assertTrue(rules.maySend(once, 0), "the attempt itself is no repeat");
+        assertForbidden(rules.maySend(once, 1), Violation.REPEATED_ONCE_ONLY);
+        once.attempts.get(0).neverRan = true;
+        assertTrue(rules.maySend(once, 1));
+    }
+
+    @Test
+    void whatIsKeyedIsSentAgainInItsWindowOnly() {
+        Held keyed = repeated("keyed");
+        nowMs = WINDOW_MS;
+        assertTrue(rules.maySend(keyed, 1));
+        nowMs = WINDOW_MS + 1;
+        assertForbidden(rules.maySend(keyed, 1), Violation.REPEATED_AFTER_WINDOW);
+        keyed.attempts.get(0).neverRan = true;
+        assertTrue(rules.maySend(keyed, 1));
+    }
+
+    @Test
+    void aMessageEndsOnce() {
+        Held held = repeated("safe");
+        assertTrue(rules.mayEnd(held));
+        held.over = true;
+        assertForbidden(rules.mayEnd(held), Violation.ENDED_TWICE);
+    }
+
+    @Test
+    void anEndThatIsHeardLateIsCounted() {
+        nowMs = DEADLINE_MS + LATE_MS;
+        rules.heard(repeated("safe"));
+        assertEquals(0, rules.count(Violation.ENDED_LATE));
+        nowMs++;
+        rules.heard(repeated("safe"));
+        assertEquals(1, rules.count(Violation.ENDED_LATE));
+    }
+
+    @Test
+    void aConnectionUnderARequestIsClosedOnlyForWhatItsClientDid() {
+        for (Intake.CloseReason reason : Intake.CloseReason.values()) {
+            assertTrue(MessageRules.mayClose(reason, false));
+            boolean clients = switch (reason) {
+                case REQUEST_NOT_WHOLE, BROKEN, PEER -> true;
+                case IDLE, MAKES_ROOM, NO_ROOM, SENT_AWAY -> false;
+            };
+            assertEquals(clients, MessageRules.mayClose(reason, true), reason.name());
+        }
+    }
+}
