Heed a reload whose configuration can't be opened for more than two seconds

What callers see: after SIGHUP the sender goes on asking the old address, which answers no more; all its notices are lost.

Cause: a file that could not be opened (ENFILE, EIO) was given up after 20 reads, as one that says something else is. Now it is tried for a minute; what the file says is still read 20 times at most.

Seen red without it: aReloadIsHeededThoughTheConfigurationCanNotBeOpenedAtFirst (never came about: it asks at the new address).

--- a/src/main/java/kestreldeal/net/ConfigReload.java
+++ b/src/main/java/kestreldeal/net/ConfigReload.java
@@ -2,14 +2,17 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.FileSystemException;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import kestreldeal.BadInput;
 
 /** Reads a configuration that was replaced while the sender runs. */
 final class ConfigReload {
-    /** A file that can't be read is read again so often, within the 4 s that SIGHUP leaves. */
+    /** A file that says something else is read again so often, within the 4 s that SIGHUP leaves. */
     private static final int MOST_READS = 20;
+    /** One that can't be opened is tried so often: the old address will not answer again. */
+    private static final int MOST_OPENS = 600;
     private static final long RETRY_MS = 100;
 
     private ConfigReload() {
@@ -17,7 +20,7 @@
 
     /**
      * Where the new configuration puts discovery. A file that is just being replaced may be there in part only, or not
-     * at all: it is read again for a while.
+     * at all: it is read again for a while, and for a minute if the system refuses to open it.
      *
      * @throws BadInput if the file says something else than an address to the last
      * @throws IOException if the file can't be read to the last
@@ -28,7 +31,7 @@
             try {
                 return Config.discovery(env);
             } catch (BadInput | IOException | IllegalArgumentException e) {
-                if (reads == MOST_READS) {
+                if (reads >= (e instanceof FileSystemException ? MOST_OPENS : MOST_READS)) {
                     throw e;
                 }
                 if (reads == 1) {
--- a/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
+++ b/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
@@ -103,6 +103,18 @@
         assertTrue(callsWith("heard") + agent.notices.size() > 0, "accepted, and never delivered nor ended");
     }
 
+    @Test
+    void aReloadIsHeededThoughTheConfigurationCanNotBeOpenedAtFirst() throws Exception {
+        DiscoveryAgent.Address old = agent.move();
+        configure();
+        faults.fail(Call.OPEN, Errno.ENFILE);
+        sender.signal("HUP");
+        TimeUnit.MILLISECONDS.sleep(START_FAULT_MS);
+        faults.mendAll();
+        Stub.await("it asks at the new address", () -> !agent.requests().isEmpty());
+        old.closeAfter(0);
+    }
+
     // ---- accepting ----
 
     @ParameterizedTest
--- a/src/test/java/kestreldeal/net/SystemFaults.java
+++ b/src/test/java/kestreldeal/net/SystemFaults.java
@@ -22,7 +22,7 @@
         WRITE,
         /** Cuts the journal. */
         TRUNCATE,
-        /** Opens a file of the state folder. */
+        /** Opens a file of the state folder, or the configuration. */
         OPEN,
         /** Renames a file of the state folder. */
         RENAME,
@@ -31,9 +31,9 @@
         ACCEPT,
         /** Waits for sockets. */
         WAIT,
-        /** Reads from a TCP socket. */
+        /** Reads from a socket. */
         RECEIVE,
-        /** Writes to a TCP socket. */
+        /** Writes to a socket. */
         SEND
     }
 
--- a/src/test/resources/system-faults.c
+++ b/src/test/resources/system-faults.c
@@ -6,15 +6,15 @@
  *   write-errno N       writes to the journal fail with this errno
  *   write-room N        with write-errno: so many bytes are written before the first failure
  *   truncate-errno N    so does cutting the journal
- *   open-errno N        no file of the state folder can be opened
+ *   open-errno N        no file of the state folder can be opened, nor the configuration
  *   rename-errno N      no file of the state folder can be renamed
  *   socket-errno N      no socket can be made, and nothing else that waits for sockets
  *   connect-errno N     no connection can be made
  *   accept-errno N      no connection can be accepted
  *   wait-errno N        waits for sockets end early
- *   receive-errno N     reads from TCP sockets fail
+ *   receive-errno N     reads from sockets fail
  *   receive-most N      they return so many bytes at most
- *   send-errno N        writes to TCP sockets fail
+ *   send-errno N        writes to sockets fail
  *   send-most N         they take so many bytes at most
  *   send-room N         with send-errno: so many bytes are written to each socket before its first failure
  *   port N              receive and send faults concern only sockets with this port on one of their ends
@@ -41,6 +41,7 @@
 #include <sys/syscall.h>
 #include <sys/time.h>
 #include <sys/uio.h>
+#include <sys/un.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -167,6 +168,11 @@
 
 // ---- files ----
 
+static int is_config(const char *path) {
+    const char *config = getenv("GW_CONFIG");
+    return config && strcmp(path, config) == 0;
+}
+
 static int is_in_state(const char *path) {
     const char *state = getenv("GW_STATE");
     return state && strncmp(path, state, strlen(state)) == 0;
@@ -219,7 +225,7 @@
     va_start(rest, flags);
     mode_t mode = va_arg(rest, mode_t);
     va_end(rest);
-    return is_in_state(path) && fails(OPEN) ? -1 : real(path, flags, mode);
+    return (is_in_state(path) || is_config(path)) && fails(OPEN) ? -1 : real(path, flags, mode);
 }
 
 int rename(const char *from, const char *to) {
@@ -231,14 +237,15 @@
 
 static int port_of(const struct sockaddr_in *address) {
     return address->sin_family == AF_INET ? ntohs(address->sin_port)
-            : address->sin_family == AF_INET6 ? ntohs(((const struct sockaddr_in6 *) address)->sin6_port) : -1;
+            : address->sin_family == AF_INET6 ? ntohs(((const struct sockaddr_in6 *) address)->sin6_port)
+            : address->sin_family == AF_UNIX ? 0 : -1;
 }
 
-/* Whether this is a TCP socket that faults concern. */
+/* Whether this is a socket that faults concern; one of two processes of a sender has no port. */
 static int is_concerned(int fd) {
     const struct settings *s = now();
     int saved = errno;
-    struct sockaddr_in6 here, there;
+    struct sockaddr_un here, there;
     socklen_t here_length = sizeof here, there_length = sizeof there;
     int concerned = getsockname(fd, (struct sockaddr *) &here, &here_length) == 0
             && getpeername(fd, (struct sockaddr *) &there, &there_length) == 0
