Keep the two processes of an upgrade together over an interrupted read

What callers see: in an upgrade the new process took the old one for gone, though it was there with calls out: those counted as broken, a message that may run only once was given up, another was sent again that the old process may have delivered.

Cause: the same as of interrupted reads on TCP, for the Unix socket between the processes, whose channel class can't be extended; its read buffers tell such a read as one without bytes.

Seen red without it: anInterruptedReadBreaksOffNoUpgrade (the two processes lost each other).

--- a/src/main/java/kestreldeal/net/Handover.java
+++ b/src/main/java/kestreldeal/net/Handover.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
 import java.io.IOException;
@@ -103,6 +104,7 @@
         }
         ChannelFuture bound = new ServerBootstrap().group(acceptor, loop).channel(NioServerDomainSocketChannel.class)
                 .handler(new AcceptRetry())
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new InterruptTolerantReads())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/src/main/java/kestreldeal/net/Takeover.java
+++ b/src/main/java/kestreldeal/net/Takeover.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioDomainSocketChannel;
 import io.netty.util.concurrent.Future;
@@ -157,6 +158,7 @@
         }
         Link[] mine = new Link[1];
         ChannelFuture connect = new Bootstrap().group(loop).channel(NioDomainSocketChannel.class)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new InterruptTolerantReads())
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/src/main/java/kestreldeal/net/TcpChannel.java
+++ b/src/main/java/kestreldeal/net/TcpChannel.java
@@ -24,7 +24,11 @@
     /** Without bytes the event loop comes back as long as the socket is readable. */
     @Override
     protected int doReadBytes(ByteBuf into) throws Exception {
-        int count = super.doReadBytes(into);
-        return count < END_OF_STREAM ? 0 : count;
+        return countOf(super.doReadBytes(into));
+    }
+
+    /** The bytes of a read as the network library has to know them: none where a signal broke it off. */
+    static int countOf(int read) {
+        return read < END_OF_STREAM ? 0 : read;
     }
 }
--- a/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
+++ b/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
@@ -1,6 +1,7 @@
 package kestreldeal.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -103,6 +104,27 @@
         assertTrue(callsWith("heard") + agent.notices.size() > 0, "accepted, and never delivered nor ended");
     }
 
+    @Test
+    void anInterruptedReadBreaksOffNoUpgrade() throws Exception {
+        CountDownLatch taken = new CountDownLatch(1);
+        script((call, socket) -> {
+            SenderFixture.awaitLatch(taken);
+            accept(call, socket);
+        });
+        handIn("out", "unsafe");
+        Stub.await("it is called for", () -> callsWith("out") == 1);
+        faults.failEvery(2, Call.RECEIVE, Errno.EINTR);
+        try (SenderProcess successor = sender.successor().start()) {
+            successor.awaitEvent("takeover", "open=1", "calls=1");
+            taken.countDown();
+            Stub.await("its end is passed on", () -> figureOf(successor, "in_flight") == 0);
+            assertFalse(successor.log().contains("event=predecessor-gone"), "the two processes lost each other");
+            assertFalse(sender.log().contains("failed before it owned"), "the upgrade was taken back");
+            assertEquals(1, callsWith("out"));
+            assertEquals(List.of(), agent.notices);
+        }
+    }
+
     @Test
     void aReloadIsHeededThoughTheConfigurationCanNotBeOpenedAtFirst() throws Exception {
         DiscoveryAgent.Address old = agent.move();
--- a/src/test/java/kestreldeal/net/SenderProcessFixture.java
+++ b/src/test/java/kestreldeal/net/SenderProcessFixture.java
@@ -144,8 +144,12 @@
     }
 
     int figure(String name) {
+        return figureOf(sender, name);
+    }
+
+    static int figureOf(SenderProcess process, String name) {
         try {
-            String text = ask(sender.operatorsAddress(), "GET /stats HTTP/1.1\r\nHost: x\r\n\r\n").body();
+            String text = ask(process.operatorsAddress(), "GET /stats HTTP/1.1\r\nHost: x\r\n\r\n").body();
             String line = text.lines().filter(l -> l.startsWith("svc." + name + ":")).findFirst().orElseThrow();
             return Integer.parseInt(line.replaceAll(".*:(\\d+)\\|.*", "$1"));
         } catch (IOException e) {
