--- a/src/main/java/kestreldeal/net/DescriptorBudget.java
+++ b/src/main/java/kestreldeal/net/DescriptorBudget.java
@@ -1,6 +1,7 @@
 package kestreldeal.net;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.stream.Stream;
@@ -60,7 +61,7 @@
         try (Stream<Path> open = Files.list(Path.of("/proc/self/fd"))) {
             // One of them is the listing itself.
             return (int) open.count() - 1;
-        } catch (IOException e) {
+        } catch (IOException | UncheckedIOException e) {
             return 0;
         }
     }
--- a/src/main/java/kestreldeal/net/StateLock.java
+++ b/src/main/java/kestreldeal/net/StateLock.java
@@ -30,6 +30,9 @@
             }
         } catch (OverlappingFileLockException heldHere) {
             // Another owner in this process is another owner all the same.
+        } catch (IOException e) {
+            channel.close();
+            throw e;
         }
         channel.close();
         return Optional.empty();
