--- a/src/test/java/kestreldeal/net/SoakNode.java
+++ b/src/test/java/kestreldeal/net/SoakNode.java
@@ -370,7 +370,7 @@
             while (!over.getAsBoolean()) {
                 TimeUnit.MILLISECONDS.sleep(2000 + draw(5000));
                 // What the agent has before a process can ask it for the first time, and an outage then hides, can't be known.
-                while (!serving || !current.log().contains("event=list source=DISCOVERY")) {
+                while (!over.getAsBoolean() && !(serving && current.log().contains("event=list source=DISCOVERY"))) {
                     TimeUnit.MILLISECONDS.sleep(20);
                 }
                 meets(Fault.AGENT_SILENT);
