Tell the end of what falls due in a handover from the old process too

Cause: from the freeze on nobody watched deadlines until the new process owned. What waited was answered before, but a message whose call was out timed out in the pause, and only the new process could end it, after its first turn. Ruled out: the platform's answer (notices of the old process that were owed by then were heard in time).

Change: the old process goes on watching. A message that falls due before the new one owns is told once from here; the new one tells it again, which the protocol allows. If the new process fails, it ends here as any overdue message.

Seen red without it: whatFallsDueWhileTheNewProcessStillComesToOwnEndsInItsTime (its notice came 28 s after its time, with the end of the new process).

--- a/src/main/java/kestreldeal/net/Notices.java
+++ b/src/main/java/kestreldeal/net/Notices.java
@@ -65,6 +65,18 @@
     void pause() {
         paused = true;
         untold.addAll(owed);
+        tellUntold();
+    }
+
+    /** Tells how a message ended, whose end the other process still has to find. */
+    void tellOnce(Held held) {
+        if (paused) {
+            untold.add(held);
+            tellUntold();
+        }
+    }
+
+    private void tellUntold() {
         if (!asking && !untold.isEmpty()) {
             asking = true;
             loop.execute(this::tell);
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -79,6 +79,8 @@
     private final OpenMessages open = new OpenMessages();
     /** Ends what the module does not end in time; there is one once the journal, with its clock, is owned. */
     private DeadlineWatchdog watchdog;
+    /** Time was up for these while a new process was taking over; they are this one's again if it does not come to that. */
+    private final List<Held> overdueInHandover = new ArrayList<>();
     /** The last word on what may be sent or ended; there is one once the journal is owned. */
     private MessageRules rules;
     /** Attempts that are out, by message and attempt. */
@@ -461,8 +463,7 @@
 
     /** Ends what the module does not: its client may come again, after so long, if it surely has not run. */
     private void giveUp(Held held, double waitMs) {
-        boolean neverRan = held.attempts.stream().allMatch(a -> a.neverRan);
-        end(held, new Held.Notice(neverRan, waitMs));
+        end(held, notice(held, waitMs));
         event(() -> relay.confirming(openTurn(), held.number));
     }
 
@@ -474,7 +475,7 @@
                 return;
             }
             if (!ownsMessages()) {
-                watchdog.watch(held);
+                overdueInHandover(held);
                 return;
             }
             events.add("overdue", "id", held.id, "class", held.messageClass, "told", held.told, "attempts",
@@ -483,6 +484,20 @@
         });
     }
 
+    /** The new process ends it once it owns, which may be too late; two notices for one message do no harm. */
+    private void overdueInHandover(Held held) {
+        overdueInHandover.add(held);
+        events.add("overdue-in-handover", "id", held.id, "class", held.messageClass, "attempts", held.attempts.size());
+        held.owed = Optional.of(notice(held, FAULT_RETRY_AFTER_MS));
+        notices.tellOnce(held);
+    }
+
+    /** Hands back what surely has not run, with a time to come back; fails the rest. */
+    private static Held.Notice notice(Held held, double waitMs) {
+        boolean neverRan = held.attempts.stream().allMatch(a -> a.neverRan);
+        return new Held.Notice(neverRan, waitMs);
+    }
+
     /** Whether what is open is this process's to end. */
     private boolean ownsMessages() {
         return owner && !frozen;
@@ -1075,7 +1090,6 @@
         public void freeze(Consumer<Optional<ObjectNode>> then) {
             logHandover("FREEZING");
             frozen = true;
-            watchdog.suspend();
             // What is not written yet is the new process's to send; these ends come before what follows.
             new ArrayList<>(calls.values()).forEach(call -> event(() -> endpoints.callOffUnsent(call)));
             loop.execute(() -> {
@@ -1126,8 +1140,9 @@
             frozen = false;
             logHandover("OWNING");
             catchUpLater();
-            watchdog.resume();
             notices.resume();
+            overdueInHandover.forEach(watchdog::watch);
+            overdueInHandover.clear();
             // What waits is decided with the next turn.
             openTurn();
         }
@@ -1135,6 +1150,7 @@
         @Override
         public void left() {
             logHandover("LEFT");
+            watchdog.suspend();
             open.clear();
             discovery.stop();
             listLease.stop();
--- a/src/test/java/kestreldeal/net/HandoverRecoveryTest.java
+++ b/src/test/java/kestreldeal/net/HandoverRecoveryTest.java
@@ -20,6 +20,7 @@
 /** A process that takes everything back, as the new one has failed before it owned, goes on in full. */
 class HandoverRecoveryTest extends SenderFixture {
     private static final long BYTES = 40_000;
+    private static final long BUDGET_MS = 3000;
 
     /** Asks to take over as a new process does, and reads the state; nobody decides anything then. */
     private SocketChannel takenOver() throws Exception {
@@ -33,6 +34,24 @@
         return link;
     }
 
+    /** Its call is out, so the old process could not end it before the handover. */
+    @Test
+    void whatFallsDueWhileTheNewProcessStillComesToOwnEndsInItsTime() throws Exception {
+        endpoints.forEach(endpoint -> endpoint.script(Stub.silent()));
+        start();
+        long sentNanos = System.nanoTime();
+        ask(client(), message("due", "plain", "hello").replace("X-Budget-Ms: 24000", "X-Budget-Ms: " + BUDGET_MS));
+        Stub.await("it is called for", () -> endpoints.stream().anyMatch(endpoint -> !endpoint.requests.isEmpty()));
+        try (SocketChannel link = takenOver()) {
+            Stub.await("its notice", () -> !notices.isEmpty());
+            long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
+            assertTrue(tookMs <= BUDGET_MS + DeadlineRecord.TOLERANCE_MS, "its end came after " + tookMs + " ms");
+            assertTrue(link.isOpen());
+        }
+        Stub.await("it is this process's again, and ends here", () -> notices.size() == 2);
+        Stub.await("it takes messages again", this::takesMessages);
+    }
+
     private boolean isOwned(Path state) {
         try {
             Optional<StateLock> lock = StateLock.take(state);
