--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -1,7 +1,6 @@
 package kestreldeal.net;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -20,7 +19,6 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -29,7 +27,6 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GenericProgressiveFutureListener;
@@ -37,7 +34,6 @@
 import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -57,11 +53,6 @@
     private static final int IDLE_S = 10;
     /** A request must be whole so soon after the connection came up, or after its first byte. */
     private static final long REQUEST_MS = 2000;
-    /**
-     * A client waits so long for its answer. Its message's time has run meanwhile, and nothing tells how much of
-     * that went by before its request was read, so all of it counts as gone.
-     */
-    private static final long UNSEEN_MS = 400;
     /** From the begin of a drain: connections between requests are closed from then on, so often. */
     static final long SWEEP_AFTER_MS = 1000;
     private static final long SWEEP_MS = 500;
@@ -172,6 +163,7 @@
 
     private final EventLoop loop;
     private final Desk desk;
+    private final SubmissionReader submissions;
     private final int mostClients;
     private final ClientAdmission admission;
     /** Connections between requests, the longest idle first. */
@@ -195,6 +187,7 @@
     Intake(EventLoop acceptor, EventLoop loop, int mostClients, Desk desk) {
         this.loop = loop;
         this.desk = desk;
+        this.submissions = new SubmissionReader(desk);
         this.mostClients = mostClients;
         this.admission = new ClientAdmission(mostClients);
         bootstrap = new ServerBootstrap().group(acceptor, loop)
@@ -443,7 +436,7 @@
         private void handIn(ChannelHandlerContext ctx, FullHttpRequest request, String path) {
             Submission submission;
             try {
-                submission = read(request, path.split("/", 3)[1]);
+                submission = submissions.read(request, path.split("/", 3)[1]);
             } catch (BadInput bad) {
                 end(ctx, request, HttpResponseStatus.BAD_REQUEST, bad.getMessage(), false);
                 return;
@@ -534,61 +527,4 @@
         answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
         return answer;
     }
-
-    private Submission read(FullHttpRequest request, String inPath) throws BadInput {
-        HttpHeaders headers = request.headers();
-        String id = required(headers, "X-Call-Id");
-        String messageClass = headers.get("X-Call-Class", inPath);
-        if (!messageClass.equals(inPath)) {
-            throw new BadInput("the class in the path is another than in X-Call-Class");
-        }
-        String tenant = headers.get("X-Caller", "");
-        if (!desk.knowsTenant(tenant)) {
-            throw new BadInput("X-Caller names no tenant");
-        }
-        Optional<String> key = Optional.ofNullable(headers.get("Idempotency-Key")).filter(k -> !k.isBlank());
-        if (key.isEmpty() && desk.needsKey(messageClass)) {
-            throw new BadInput("Idempotency-Key is missing");
-        }
-        Optional<String> thread = thread(request.uri());
-        long budgetMs = whole(required(headers, "X-Budget-Ms"), "X-Budget-Ms");
-        if (budgetMs < 1) {
-            throw new BadInput("X-Budget-Ms leaves no time");
-        }
-        String destination = Arrays.stream(required(headers, "X-Envelope").split("[,;\\s]+"))
-                .filter(part -> part.startsWith("dest=")).findFirst()
-                .orElseThrow(() -> new BadInput("X-Envelope names no dest")).substring("dest=".length());
-        return new Submission(id, messageClass, tenant, key, thread, whole(destination, "dest"),
-                Math.max(1, budgetMs - UNSEEN_MS), ByteBufUtil.getBytes(request.content()));
-    }
-
-    /** The key of order, which is not the idempotency key: messages of one thread have keys of their own. */
-    private static Optional<String> thread(String uri) throws BadInput {
-        try {
-            return Optional.ofNullable(new QueryStringDecoder(uri).parameters().get("thread"))
-                    .map(values -> values.get(0)).filter(value -> !value.isBlank());
-        } catch (IllegalArgumentException e) {
-            throw new BadInput("the query can't be read");
-        }
-    }
-
-    private static String required(HttpHeaders headers, String name) throws BadInput {
-        String value = headers.get(name);
-        if (value == null || value.isBlank()) {
-            throw new BadInput(name + " is missing");
-        }
-        return value;
-    }
-
-    private static long whole(String value, String name) throws BadInput {
-        try {
-            long number = Long.parseLong(value.trim());
-            if (number < 0) {
-                throw new BadInput(name + " is negative");
-            }
-            return number;
-        } catch (NumberFormatException e) {
-            throw new BadInput(name + " is not a whole number");
-        }
-    }
 }
