--- a/src/main/java/kestreldeal/net/StartRetry.java
+++ b/src/main/java/kestreldeal/net/StartRetry.java
@@ -20,28 +20,37 @@
         T take() throws IOException;
     }
 
-    private final long endNanos;
+    private final long patienceNanos;
     private boolean failing;
+    private long failingSince;
 
-    /** From now on. */
+    /** For so long from the first of several failures in a row. */
     StartRetry(long patienceMs) {
-        endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(patienceMs);
+        patienceNanos = TimeUnit.MILLISECONDS.toNanos(patienceMs);
     }
 
     /** Whether a step that failed just now may be taken again after a pause; tells of the first failure in a line. */
     synchronized boolean mayRetry(String what, Exception cause) {
         if (!failing) {
             failing = true;
+            failingSince = System.nanoTime();
             Log.line(what + " fails, and is tried again for a while: " + cause.getMessage());
         }
-        return System.nanoTime() - endNanos < 0;
+        return System.nanoTime() - failingSince < patienceNanos;
+    }
+
+    /** A step has succeeded. */
+    synchronized void succeeded() {
+        failing = false;
     }
 
     /** Takes a step until it succeeds; waits between its tries, so it is not called on an event loop. */
     <T> T untilDone(String what, Step<T> step) throws IOException {
         while (true) {
             try {
-                return step.take();
+                T taken = step.take();
+                succeeded();
+                return taken;
             } catch (IOException | ChannelException | IllegalStateException e) {
                 if (!mayRetry(what, e)) {
                     throw new IOException(e.getMessage(), e);
--- a/src/main/java/kestreldeal/net/Takeover.java
+++ b/src/main/java/kestreldeal/net/Takeover.java
@@ -99,6 +99,7 @@
     private void ownAlone(StateLock lock) {
         try {
             heir.own(lock, Optional.empty());
+            retry.succeeded();
         } catch (IOException e) {
             if (retry.mayRetry("opening the journal", e)) {
                 loop.schedule(() -> ownAlone(lock), AGAIN_MS, TimeUnit.MILLISECONDS);
@@ -119,7 +120,9 @@
     /** For a moment there may be no descriptor for it: such a failure stands for a lock that another has. */
     private Optional<StateLock> takeLock() throws IOException {
         try {
-            return StateLock.take(state);
+            Optional<StateLock> lock = StateLock.take(state);
+            retry.succeeded();
+            return lock;
         } catch (IOException e) {
             if (!retry.mayRetry("taking the lock", e)) {
                 throw e;
