Go on with a connection whose read or write fails for want of memory

What callers saw: closed with no answer, while the system had no buffers or memory for a moment (ENOBUFS, ENOMEM, which read and write document).

Cause: of the same class as interrupted reads: the network library ends a connection at any error. TransientErrors is the one place that knows which errors say nothing of a connection; a read then has no bytes yet, a write goes on once the socket is writable. Writes between the two processes of an upgrade are left, as their channel class can't be extended.

Seen red without it: aClientIsAnsweredThoughItsSocketCouldNotBeUsedForAMoment (both errors: closed with no answer).

--- a/src/main/java/kestreldeal/net/InterruptTolerantReads.java
+++ b/src/main/java/kestreldeal/net/InterruptTolerantReads.java
@@ -9,7 +9,7 @@
 import java.nio.channels.ScatteringByteChannel;
 
 /**
- * Read buffers for channels whose class can't be extended: a read that a signal broke off counts as one without bytes,
+ * Read buffers for channels whose class can't be extended: a read that fails for a moment counts as one without bytes,
  * as in {@link TcpChannel}.
  */
 final class InterruptTolerantReads implements RecvByteBufAllocator {
@@ -32,7 +32,14 @@
 
         @Override
         public int setBytes(int index, ScatteringByteChannel in, int length) throws IOException {
-            return TcpChannel.countOf(super.setBytes(index, in, length));
+            try {
+                return TcpChannel.countOf(super.setBytes(index, in, length));
+            } catch (IOException e) {
+                if (!TransientErrors.isTransient(e)) {
+                    throw e;
+                }
+                return 0;
+            }
         }
     }
 }
--- a/src/main/java/kestreldeal/net/TcpChannel.java
+++ b/src/main/java/kestreldeal/net/TcpChannel.java
@@ -2,12 +2,14 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
 import java.nio.channels.SocketChannel;
 
 /**
- * A TCP connection on which a read that a signal broke off is repeated. The JDK tells such a read by a count below that
- * of the end of the stream, and the network library takes every negative count for that end.
+ * A TCP connection that outlasts reads and writes which fail for a moment. The JDK tells a read that a signal broke off
+ * by a count below that of the end of the stream, and the network library takes every negative count for that end.
  */
 class TcpChannel extends NioSocketChannel {
     /** What a read returns at the end of the stream; below it no bytes were read for another reason. */
@@ -24,7 +26,27 @@
     /** Without bytes the event loop comes back as long as the socket is readable. */
     @Override
     protected int doReadBytes(ByteBuf into) throws Exception {
-        return countOf(super.doReadBytes(into));
+        try {
+            return countOf(super.doReadBytes(into));
+        } catch (IOException e) {
+            if (!TransientErrors.isTransient(e)) {
+                throw e;
+            }
+            return 0;
+        }
+    }
+
+    /** What is left is written once the socket is writable, which it may be at once. */
+    @Override
+    protected void doWrite(ChannelOutboundBuffer out) throws Exception {
+        try {
+            super.doWrite(out);
+        } catch (IOException e) {
+            if (!TransientErrors.isTransient(e)) {
+                throw e;
+            }
+            incompleteWrite(true);
+        }
     }
 
     /** The bytes of a read as the network library has to know them: none where a signal broke it off. */
--- a/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
+++ b/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
@@ -89,6 +89,22 @@
         assertEquals(List.of(), agent.notices, "a delivered message counts as one that may not have been");
     }
 
+    @ParameterizedTest
+    @EnumSource(names = {"ENOBUFS", "ENOMEM"})
+    void aClientIsAnsweredThoughItsSocketCouldNotBeUsedForAMoment(Errno errno) throws Exception {
+        for (Call call : List.of(Call.SEND, Call.RECEIVE)) {
+            try (Socket client = connect()) {
+                faults.onlyAtPort(sender.address().getPort());
+                faults.fail(call, errno);
+                Stub.write(client, TestConfig.message("short-of-" + call, "safe", "hello"));
+                Stub.await("a call fails", () -> met(call) > 0);
+                faults.mendAll();
+                assertAccepted(client);
+            }
+        }
+        awaitAllEnded();
+    }
+
     @Test
     void aClientThatReadItsAcceptanceKeepsItsMessageThoughTheWriteFailedBehindIt() throws Exception {
         String firstLine = "HTTP/1.1 202 Accepted\r\n";
