Go on with an upgrade whose two processes can't share their address

What callers see: an upgrade did not come about, now or at any later time; the new process asked again and again and never served.

Cause: the JDK finds out once, while it starts, whether sockets can share an address, by making one. If that fails (ENFILE, ENOBUFS) the option is gone for the life of the process, the bind beside the old one fails with 'Address already in use', and the new process declined each time.

Change: in that one case the new process owns first and listens when the old one has left; clients that connect in between are refused for some 20 ms. Where it can make no socket at all it declines, as before.

Forced by anUpgradeSucceedsThoughNoSocketCouldBeMadeWhenTheNewProcessBegan.

--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -9,6 +9,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.util.ArrayDeque;
@@ -53,7 +54,8 @@
     /** So long it may take on a busy machine until the new process of an upgrade decides, and is heard by the platform. */
     private static final double HANDOVER_PAUSE_MS = 1000;
     /** For a moment there may be no socket to listen at. */
-    private static final long LISTEN_AGAIN_MS = 100;
+    private static final long LISTEN_AGAIN_MS = 20;
+    private static final String ADDRESS_IN_USE = "Address already in use";
     /** A turn that a fault has broken off is followed by another after so long. */
     private static final long FAULT_RETRY_MS = 20;
     /** After so long the client of a message may come again that a fault of the program has cost its delivery. */
@@ -1183,6 +1185,22 @@
 
         @Override
         public void listenBeside(Runnable then, Runnable failed) {
+            listen(then, cause -> {
+                if (isTakenByOldProcess(cause)) {
+                    Log.line("can't listen beside the old process, and does so once that one has left");
+                    then.run();
+                } else {
+                    failed.run();
+                }
+            });
+        }
+
+        /** One of the two can't share its address: the JDK finds out once, at its start, whether sockets can, by making one. */
+        private static boolean isTakenByOldProcess(Throwable cause) {
+            return cause instanceof BindException && String.valueOf(cause.getMessage()).contains(ADDRESS_IN_USE);
+        }
+
+        private void listen(Runnable then, Consumer<Throwable> failed) {
             if (listening) {
                 then.run();
                 return;
@@ -1193,7 +1211,7 @@
                     then.run();
                 } else {
                     Log.line("can't listen: " + bound.cause().getMessage());
-                    failed.run();
+                    failed.accept(bound.cause());
                 }
             });
         }
@@ -1213,12 +1231,12 @@
         }
 
         private void listenAsOwner() {
-            listenBeside(() -> serving.complete(intake.address()), () -> {
-                IOException cause = new IOException("can't listen at " + Endpoints.hostPort(config.listen()));
-                if (startRetry.mayRetry("listening", cause)) {
+            listen(() -> serving.complete(intake.address()), cause -> {
+                IOException failure = new IOException("can't listen at " + Endpoints.hostPort(config.listen()), cause);
+                if (startRetry.mayRetry("listening", failure)) {
                     loop.schedule(this::listenAsOwner, LISTEN_AGAIN_MS, TimeUnit.MILLISECONDS);
                 } else {
-                    failed(cause);
+                    failed(failure);
                 }
             });
         }
--- a/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
+++ b/src/test/java/kestreldeal/net/FailingCallsProcessTest.java
@@ -141,6 +141,19 @@
         }
     }
 
+    @Test
+    void anUpgradeSucceedsThoughNoSocketCouldBeMadeWhenTheNewProcessBegan() throws Exception {
+        faults.fail(Call.SOCKET, Errno.ENFILE);
+        Thread mender = mendAfter(START_FAULT_MS);
+        try (SenderProcess successor = sender.successor().start()) {
+            mender.join();
+            sender.signal("TERM");
+            sender.awaitEnd();
+            assertEquals("HTTP/1.1 202 Accepted", ask(sender.address(), TestConfig.message("next", "safe", "hello")).line());
+            Stub.await("it is delivered", () -> callsWith("next") == 1 && figureOf(successor, "in_flight") == 0);
+        }
+    }
+
     @Test
     void aReloadIsHeededThoughTheConfigurationCanNotBeOpenedAtFirst() throws Exception {
         DiscoveryAgent.Address old = agent.move();
@@ -283,6 +296,19 @@
 
     // ---- the start of a process ----
 
+    private Thread mendAfter(long ms) {
+        Thread mender = new Thread(() -> {
+            try {
+                TimeUnit.MILLISECONDS.sleep(ms);
+                faults.mendAll();
+            } catch (IOException | InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        });
+        mender.start();
+        return mender;
+    }
+
     private void restartThoughFailing(Call call, Errno errno) throws Exception {
         script(Stub.silent());
         handIn("owed", "safe");
@@ -295,15 +321,7 @@
         sender.kill();
         faults.mendAll();
         faults.fail(call, errno);
-        Thread mender = new Thread(() -> {
-            try {
-                TimeUnit.MILLISECONDS.sleep(START_FAULT_MS);
-                faults.mendAll();
-            } catch (IOException | InterruptedException e) {
-                throw new AssertionError(e);
-            }
-        });
-        mender.start();
+        Thread mender = mendAfter(START_FAULT_MS);
         sender.start();
         mender.join();
         awaitAllEnded();
