--- a/src/main/java/kestreldeal/net/Takeover.java
+++ b/src/main/java/kestreldeal/net/Takeover.java
@@ -227,8 +227,10 @@
                 decline(from);
                 return;
             }
-            owner = true;
-            heir.own(lock.get(), Optional.of(node));
+            if (!owns(lock.get(), node)) {
+                decline(from);
+                return;
+            }
             tell(Link.line("own"));
             early.forEach(report -> FaultIsolation.run(() -> heir.reported(report)));
             early.clear();
@@ -237,6 +239,23 @@
         }
     }
 
+    /** The folder may fail for a moment: then the old process goes on, and is asked again later. */
+    private boolean owns(StateLock lock, JsonNode node) throws IOException {
+        try {
+            owner = true;
+            heir.own(lock, Optional.of(node));
+            retry.succeeded();
+            return true;
+        } catch (IOException e) {
+            if (!retry.mayRetry("opening the journal", e)) {
+                throw e;
+            }
+            owner = false;
+            lock.close();
+            return false;
+        }
+    }
+
     private void closed(Link which) {
         if (failed || which != link || which == null) {
             return;
