Measure the clients of a closing listener behind its accepting, and behind its close

Traced: since the listener accepts in a task of its own loop, the close comes back before anything is accepted, so the first figure was always 0, and the second could fall between the accepting and the ends of those that made room. Both are taken at the right moment now, with the same bounds, and the first must be above 0.

--- a/src/test/java/kestreldeal/net/IntakeTest.java
+++ b/src/test/java/kestreldeal/net/IntakeTest.java
@@ -12,7 +12,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -21,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -195,16 +195,23 @@
             intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).syncUninterruptibly();
             InetSocketAddress address = intake.address();
             CountDownLatch connected = new CountDownLatch(1);
-            Future<Integer> accepted = loop.submit(() -> {
+            CompletableFuture<Integer> accepted = new CompletableFuture<>();
+            loop.submit(() -> {
                 connected.await();
                 intake.close();
-                return intake.clients();
+                // Right behind the accepting, and before the ends of those that made room.
+                loop.execute(() -> accepted.complete(intake.clients()));
+                return null;
             });
             for (int i = 0; i < waiting; i++) {
                 sockets.add(new Socket(address.getAddress(), address.getPort()));
             }
             connected.countDown();
+            assertTrue(accepted.get() > 0, "there was room for some");
             assertTrue(accepted.get() <= most + DescriptorBudget.ACCEPT_BURST, "at once: " + accepted.get());
+            Stub.await("nobody listens any more", () -> connect(address).isEmpty());
+            // Behind the ends of those that made room, which are told in a turn of their own.
+            loop.submit(() -> { }).get();
             int open = loop.submit(intake::clients).get();
             assertTrue(open <= most, "after the turn: " + open);
             assertTrue(open > 0, "there was room for some");
