--- a/src/main/java/kestreldeal/net/DeadlineWatchdog.java
+++ b/src/main/java/kestreldeal/net/DeadlineWatchdog.java
@@ -46,17 +46,11 @@
         byDeadline.remove(held);
     }
 
-    /** Another process may own the messages: nothing is told until {@link #resume}. */
+    /** Another process owns the messages: nothing is told any more. */
     void suspend() {
         suspended = true;
     }
 
-    /** This process owns the messages again. */
-    void resume() {
-        suspended = false;
-        schedule();
-    }
-
     /** At the first deadline; a check that was scheduled for a later one does no harm. */
     private void schedule() {
         if (suspended || byDeadline.isEmpty()) {
