--- a/src/test/java/kestreldeal/net/SenderProcessFixture.java
+++ b/src/test/java/kestreldeal/net/SenderProcessFixture.java
@@ -93,8 +93,12 @@
 
     /** Accepts all messages of a call at once. */
     static void accept(Stub.Message call, Socket socket) throws Exception {
-        String body = ids(call).stream().map(id -> id + " accepted\r\n").collect(Collectors.joining());
-        Stub.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        Stub.write(socket, acceptance(call));
+    }
+
+    /** The answer that accepts all messages of a call. */
+    static String acceptance(Stub.Message call) {
+        return TestConfig.answer(ids(call).stream().map(id -> id + " accepted\r\n").collect(Collectors.joining()));
     }
 
     /** The ids of the messages that a call carries. */
--- a/src/test/java/kestreldeal/net/TestConfig.java
+++ b/src/test/java/kestreldeal/net/TestConfig.java
@@ -115,6 +115,11 @@
 
     /** Answers with a body. */
     static void answer(Socket socket, String body) throws IOException {
-        Stub.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        Stub.write(socket, answer(body));
+    }
+
+    /** An answer with a body. */
+    static String answer(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 }
