Count an answer of an endpoint though more than belongs to it comes behind it

Callers saw messages forwarded again after an answer had accepted them, and messages failed that had never run. Cause: bytes behind a whole answer made all of it count as unreadable (BROKEN), so an answer to several messages told the end of none. Change: what comes behind a whole answer is kept apart (SurplusInput) and ends the connection. An answer to several messages is known by the ids in it; any other counts unless an answer of another status stands behind it, as then the first may be the stray one (twoAnswersInOneProveNothing stays as it is). Changed judge: EndpointAnswerPropertyTest took a refusal with bytes behind it for no refusal. Measured: SurplusAnswerTest, EndpointAnswerPropertyTest and EndpointsTest green.

--- a/src/main/java/kestreldeal/net/AttemptOutcomes.java
+++ b/src/main/java/kestreldeal/net/AttemptOutcomes.java
@@ -6,8 +6,9 @@
  * The outcome of an attempt, by the protocol's table; the only place that decides whether an attempt may have run.
  *
  * <p>Two things prove that an attempt never ran: the last byte of its request was not written and never will be, or
- * its answer, read whole and clean, says so. An answer that is cut short, can't be read or comes with bytes that are
- * not its own proves nothing, with one exception: the first line of the answer to a single message, if it says 200.
+ * its answer, read whole, says so; what comes behind a whole answer takes nothing from it, unless that may be an answer of
+ * another status. An answer that is cut short or can't be read proves nothing, with one exception: the first line of the
+ * answer to a single message, if it says 200.
  */
 final class AttemptOutcomes {
     /** What ended an attempt that got no whole answer. */
@@ -93,7 +94,7 @@
     /**
      * What the status of an answer says of all messages of its exchange.
      *
-     * @param proven whether the answer was read whole and clean
+     * @param proven whether the answer was read whole, with nothing behind it that may be another one
      * @param refusal what an answer with 503 refused
      * @param messages how many messages the request carried
      */
--- a/src/main/java/kestreldeal/net/BatchAnswer.java
+++ b/src/main/java/kestreldeal/net/BatchAnswer.java
@@ -1,5 +1,6 @@
 package kestreldeal.net;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -8,9 +9,13 @@
     /** Stands for no word, and for an id that two lines name. */
     private static final String UNKNOWN = "";
 
+    private static final String LINE_END = "\n";
+
     private final Map<String, String> words = new HashMap<>();
+    private final boolean lastLineEnds;
 
     BatchAnswer(String body) {
+        lastLineEnds = body.endsWith(LINE_END);
         for (String line : body.split("\r?\n")) {
             String[] parts = line.trim().split(" ");
             if (parts.length == 2) {
@@ -19,6 +24,11 @@
         }
     }
 
+    /** Whether it has a clear word for each of these messages, and ends with a whole line. */
+    boolean isWhole(Collection<String> ids) {
+        return lastLineEnds && ids.stream().noneMatch(id -> word(id).isEmpty());
+    }
+
     /** The word for a message, empty if the answer has none or no clear one. */
     String word(String id) {
         return words.getOrDefault(id, UNKNOWN);
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -412,6 +412,8 @@
         private double waitMs;
         /** All of the answer has come. */
         private boolean complete;
+        /** What came behind the answer. */
+        private final SurplusInput surplus = new SurplusInput();
         /** When bytes of it came last. */
         private long readAtNanos = System.nanoTime() - READ_GAP_NANOS;
 
@@ -608,20 +610,42 @@
             return fits || calls.size() == 1;
         }
 
-        /** Whether the answer was read whole, and nothing but it. */
+        /** Whether one answer was read whole, whatever came behind it. */
+        private boolean isReadWhole() {
+            return complete && delimited && !corrupted && scanner.isSingleAnswer(surplus.statusLines())
+                    && scanner.status() == status;
+        }
+
+        /** Whether the answer proves what it says by its status. */
         private boolean isProof() {
-            return complete && delimited && !corrupted && scanner.isSingleAnswer() && scanner.status() == status;
+            return isReadWhole() && surplus.holdsNoOtherStatus(status);
+        }
+
+        /** Whether an answer to several messages proves what it says of each: the ids in it tell whose answer it is. */
+        private boolean isProof(BatchAnswer answer) {
+            return isReadWhole() && (surplus.isEmpty() || answer.isWhole(calls.stream().map(call -> call.held.id).toList()));
+        }
+
+        /** Whether its connection can carry another exchange. */
+        private boolean leavesConnectionUsable() {
+            return keepAlive && surplus.isEmpty() && isProof();
+        }
+
+        /** Bytes have come behind the whole answer. */
+        private void surplus(ByteBuf input) {
+            surplus.add(input);
         }
 
         /** The answer is whole: what it says counts for all its messages, also for those that have left. */
         private void conclude() {
             boolean reports = status == HttpResponseStatus.OK.code() && calls.size() > 1;
             calls.forEach(call -> call.timer.cancel(false));
-            if (reports && isProof()) {
-                BatchAnswer answer = new BatchAnswer(body.toString(StandardCharsets.ISO_8859_1));
+            BatchAnswer answer = new BatchAnswer(body.toString(StandardCharsets.ISO_8859_1));
+            if (reports && isProof(answer)) {
                 calls.forEach(call -> call.answered(AttemptOutcomes.reported(answer.word(call.held.id)), waitMs));
             } else {
-                AttemptOutcomes.Result all = AttemptOutcomes.answered(scanner.status(), isProof(), refusal, calls.size());
+                boolean proven = !reports && isProof();
+                AttemptOutcomes.Result all = AttemptOutcomes.answered(scanner.status(), proven, refusal, calls.size());
                 calls.forEach(call -> call.answered(all, waitMs));
             }
             tellWait();
@@ -688,16 +712,20 @@
         }
 
         private void received(ChannelHandlerContext ctx, ByteBuf input) {
-            if (exchange == null || exchange.complete || !exchange.flushed) {
+            if (exchange == null || !exchange.flushed) {
                 input.release();
                 strayInput();
+            } else if (exchange.complete) {
+                exchange.scanner.scan(input);
+                exchange.surplus(input);
+                input.release();
             } else {
                 exchange.received(input);
                 ctx.fireChannelRead(input);
             }
         }
 
-        /** Nothing was asked, or not yet in full, or all was answered: what came can't be told from an answer. */
+        /** Nothing was asked, or not yet in full: what came can't be told from an answer. */
         private void strayInput() {
             if (exchange != null) {
                 exchange.corrupted = true;
@@ -709,7 +737,7 @@
         protected void channelRead0(ChannelHandlerContext ctx, Object part) {
             if (!(part instanceof HttpObject object)) {
                 // The codec hands on what is left behind the end of the answer.
-                strayInput();
+                exchange.surplus((ByteBuf) part);
             } else if (exchange == null || object.decoderResult().isFailure()) {
                 close(CloseReason.UNREADABLE_ANSWER);
             } else {
@@ -735,7 +763,7 @@
             }
         }
 
-        /** All that has come so far is read: an answer that is whole by now, with nothing behind it, is one. */
+        /** All that has come so far is read: an answer that is whole by now counts, and what is behind it ends its connection. */
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
             if (exchange != null && exchange.complete) {
@@ -746,15 +774,22 @@
                     ended.over();
                 }
                 peer.exchangeEnds();
-                if (ended.keepAlive && ended.isProof()) {
+                if (ended.leavesConnectionUsable()) {
                     rest();
                 } else {
-                    close(ended.keepAlive ? CloseReason.UNREADABLE_ANSWER : CloseReason.NOT_KEPT_ALIVE);
+                    close(reasonToClose(ended));
                 }
             }
             ctx.fireChannelReadComplete();
         }
 
+        private static CloseReason reasonToClose(Exchange ended) {
+            if (!ended.keepAlive) {
+                return CloseReason.NOT_KEPT_ALIVE;
+            }
+            return ended.surplus.isEmpty() ? CloseReason.UNREADABLE_ANSWER : CloseReason.STRAY_INPUT;
+        }
+
         /** Is kept for the next exchange, if there is room. */
         void rest() {
             if (idle < mostIdle && channel.isActive() && peer.mayIdle()) {
--- a/src/main/java/kestreldeal/net/ResponseScanner.java
+++ b/src/main/java/kestreldeal/net/ResponseScanner.java
@@ -46,9 +46,13 @@
         return status;
     }
 
-    /** Whether all bytes so far may belong to one answer, with a status line and headers that can be read. */
-    boolean isSingleAnswer() {
-        return !malformed && status != NONE && statusLines == 1;
+    /**
+     * Whether the bytes of the answer may belong to one, with a status line and headers that can be read.
+     *
+     * @param surplusStatusLines so many of the status lines that were scanned stand behind the end of the answer
+     */
+    boolean isSingleAnswer(int surplusStatusLines) {
+        return !malformed && status != NONE && statusLines == 1 + surplusStatusLines;
     }
 
     private void next(byte value) {
--- a/src/test/java/kestreldeal/net/AnswerScript.java
+++ b/src/test/java/kestreldeal/net/AnswerScript.java
@@ -77,6 +77,12 @@
             return new Stray(text.getBytes(StandardCharsets.ISO_8859_1));
         }
 
+        /** Whether an answer of another status may begin in it. */
+        boolean mayTellOtherThan(int status) {
+            String text = new String(bytes, StandardCharsets.ISO_8859_1);
+            return text.replace("HTTP/1.1 " + status + " ", "").contains("HTTP/1.");
+        }
+
         @Override
         public String toString() {
             StringBuilder text = new StringBuilder("'");
@@ -110,5 +116,21 @@
 
     /** One exchange: stray bytes before it, a call of {@code size} messages, and what becomes of its answer. */
     record Step(int size, Moment moment, Stray before, Answer answer, Spoilt spoilt) {
+        /** Whether the answer counts: nothing is done to it, but for bytes behind it that are not of another one. */
+        boolean isCleanAnswer() {
+            boolean bringsMore = spoilt.by() == Spoiling.STRAY_AFTER;
+            return spoilt.by().clean()
+                    || bringsMore && (answer.toBatchWithWords() || !spoilt.stray().mayTellOtherThan(answer.status()));
+        }
+
+        /** The same; bytes behind its length are on the wire what comes behind a whole answer, but a list of words is cut. */
+        boolean tellsWhatRan() {
+            return isCleanAnswer() || spoilt.by() == Spoiling.LENGTH_TOO_SHORT && !answer.toBatchWithWords();
+        }
+
+        /** Whether the end of the connection is all that tells the end of the answer. */
+        boolean endsWithConnection() {
+            return answer.framing() == Framing.UNTIL_CLOSE && spoilt.by() != Spoiling.STRAY_AFTER;
+        }
     }
 }
