--- a/src/test/java/kestreldeal/net/SurplusAnswerTest.java
+++ b/src/test/java/kestreldeal/net/SurplusAnswerTest.java
@@ -1,12 +1,19 @@
 package kestreldeal.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import kestreldeal.Relay.Outcome;
 import kestreldeal.net.EndpointClient.End;
@@ -17,6 +24,11 @@
 class SurplusAnswerTest {
     private static final double LONG_MS = 20_000;
     private static final long END_MS = 30_000;
+    /** A copy comes so long after the answer was read, or as soon as the next request has come. */
+    private static final long MOMENT_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+    /** Played again where the machine stood still for longer than that in between. */
+    private static final long LONGEST_MOMENT_NANOS = TimeUnit.MILLISECONDS.toNanos(15);
+    private static final int MOST_PLAYS = 50;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -60,4 +72,102 @@
             }
         }
     }
+
+    /** A first answer, and its copy a moment later: by then the next request may be on its way. Then refusals. */
+    private static final class LateCopy implements Stub.Script {
+        private final String answer;
+        private final String refusal;
+        private final CountDownLatch firstRead = new CountDownLatch(1);
+        private boolean copied;
+        private volatile long tookNanos;
+
+        LateCopy(String answer, String refusal) {
+            this.answer = answer;
+            this.refusal = refusal;
+        }
+
+        /** The other side has just read the first answer. */
+        void firstIsRead() {
+            firstRead.countDown();
+        }
+
+        @Override
+        public synchronized void come(Stub.Message request, Socket socket) throws Exception {
+            if (copied) {
+                Stub.write(socket, refusal);
+                return;
+            }
+            copied = true;
+            Stub.write(socket, answer);
+            firstRead.await();
+            long begun = System.nanoTime();
+            while (socket.getInputStream().available() == 0 && System.nanoTime() - begun < MOMENT_NANOS) {
+                Thread.onSpinWait();
+            }
+            Stub.write(socket, answer);
+            tookNanos = System.nanoTime() - begun;
+        }
+
+        boolean isValid() {
+            return tookNanos < LONGEST_MOMENT_NANOS;
+        }
+    }
+
+    private interface Play {
+        void with(Stub stub, LateCopy script) throws Exception;
+    }
+
+    private static void untilValid(String answer, String refusal, Play play) throws Exception {
+        LateCopy script;
+        int plays = 0;
+        do {
+            assertTrue(plays++ < MOST_PLAYS, "the machine stands still too often");
+            script = new LateCopy(answer, refusal);
+            try (Stub stub = new Stub(script)) {
+                play.with(stub, script);
+            } catch (AssertionError e) {
+                if (script.isValid()) {
+                    throw e;
+                }
+            }
+        } while (!script.isValid());
+    }
+
+    @Test
+    void aSecondCopyThatComesAMomentLaterIsNoAnswerToTheNextCall() throws Exception {
+        String accepted = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        untilValid(accepted, "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", (stub, script) -> {
+            EndpointClient client = new EndpointClient(loop, stub.address());
+            for (String id : List.of("first", "second")) {
+                client.inLoop(() -> {
+                    client.start(List.of(id), LONG_MS);
+                    return null;
+                });
+                Outcome expected = id.equals("first") ? Outcome.DELIVERED : Outcome.FULL;
+                assertEquals(List.of(new End(id, expected, false, 0)), client.ends(1, END_MS));
+                script.firstIsRead();
+            }
+        });
+    }
+
+    @Test
+    void aSecondCopyThatComesAMomentLaterIsNoAnswerToTheNextNotice() throws Exception {
+        untilValid("HTTP/1.1 204 x\r\n\r\n", "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", (stub, script) -> {
+            Agent agent = new Agent(loop, stub.address());
+            CompletableFuture<Integer> second = new CompletableFuture<>();
+            loop.execute(() -> ask(agent, new CompletableFuture<>(), () -> {
+                ask(agent, second, () -> { });
+                script.firstIsRead();
+            }));
+            assertEquals(503, second.get(END_MS, TimeUnit.MILLISECONDS));
+        });
+    }
+
+    private static void ask(Agent agent, CompletableFuture<Integer> status, Runnable then) {
+        agent.ask(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/reports"), (long) LONG_MS,
+                answer -> {
+                    status.complete(answer.map(a -> a.status().code()).orElse(0));
+                    then.run();
+                });
+    }
 }
