Let a kept connection be quiet for a moment behind an answer before the next request

Callers saw messages that were taken on and never ended, and messages of one key that overtook each other. Cause: an answer is known by its place on its connection alone. A second copy that came behind it while the next request was under way was taken for the answer to that: a call that was refused, or whose connection then closed, counted as delivered, and a notice that was not heard as heard; the key went on. Change: QuietPeriod. For 20 ms behind an answer its connection carries nothing; what comes meanwhile belongs to nobody and ends it. A call takes an idle connection that has been quiet, or waits for one, or makes one; a request to the platform's agent waits, and goes over a new connection if the kept one ends meanwhile.

--- a/src/main/java/kestreldeal/net/Agent.java
+++ b/src/main/java/kestreldeal/net/Agent.java
@@ -28,7 +28,8 @@
 /**
  * The platform's agent, over one kept connection that carries one request at a time. It may go silent
  * without a sign, so each request has a time limit, after which its connection is given up. Bytes that come while
- * no answer is awaited can't be told from a later answer, so they end their connection.
+ * no answer is awaited can't be told from a later answer, so they end their connection; for what comes straight behind an
+ * answer the next request waits a moment.
  */
 final class Agent implements Discovery.Source {
     /** Part of a request's time limit; a SYN that is lost is repeated only after 1 s. */
@@ -42,12 +43,16 @@
     private InetSocketAddress address;
     private final Bootstrap bootstrap;
     private Channel channel;
+    /** Of {@link #channel}. */
+    private final QuietPeriod quiet = new QuietPeriod();
     private Request current;
     private boolean failedHere;
 
     private final class Request {
         private final Consumer<Optional<FullHttpResponse>> then;
         private Future<?> timer;
+        /** It goes over the connection as it stands. */
+        private boolean sent;
         /** Its last byte is written: from here on an answer may come. */
         private boolean flushed;
 
@@ -93,6 +98,19 @@
         current = mine;
         failedHere = false;
         mine.timer = Due.in(loop, limitMs, TimeUnit.MILLISECONDS, () -> fail(mine));
+        long quietNanos = quiet.remainingNanos();
+        if (isConnected() && quietNanos > 0) {
+            loop.schedule(() -> start(mine, request), quietNanos, TimeUnit.NANOSECONDS);
+        } else {
+            start(mine, request);
+        }
+    }
+
+    private void start(Request mine, FullHttpRequest request) {
+        if (current != mine) {
+            request.release();
+            return;
+        }
         if (isConnected()) {
             send(mine, request);
             return;
@@ -132,6 +150,7 @@
 
     /** With a codec of its own, so that no bytes are kept from one answer to the next. */
     private void send(Request mine, FullHttpRequest request) {
+        mine.sent = true;
         channel.pipeline().addBefore(RESPONSE_HANDLER, CODEC, new HttpClientCodec());
         channel.pipeline().addBefore(RESPONSE_HANDLER, AGGREGATOR, new HttpObjectAggregator(MAX_RESPONSE_BYTES));
         channel.writeAndFlush(request).addListener(written -> mine.flushed = written.isSuccess());
@@ -226,6 +245,7 @@
             if (surplus || !HttpUtil.isKeepAlive(response)) {
                 disconnect();
             }
+            quiet.begin();
             current.complete(Optional.of(response));
         }
 
@@ -235,7 +255,7 @@
             answer = Optional.empty();
             if (ctx.channel() == channel) {
                 channel = null;
-                if (current != null) {
+                if (current != null && current.sent) {
                     current.complete(Optional.empty());
                 }
             }
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -32,6 +32,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -204,11 +205,15 @@
     void flush() {
         for (Exchange exchange : gathered) {
             exchange.peer.gathering = null;
-            inputBarrier.whenRead(() -> ends.whenListIsCurrent(exchange::start));
+            startOnceAllIsRead(exchange);
         }
         gathered.clear();
     }
 
+    private void startOnceAllIsRead(Exchange exchange) {
+        inputBarrier.whenRead(() -> ends.whenListIsCurrent(exchange::start));
+    }
+
     /** Stops waiting for a call; its connection is closed when nothing else is waited for on it. */
     void cancel(Call call) {
         call.leave(Interruption.CANCELLED);
@@ -256,6 +261,8 @@
         /** What this turn sends here, as long as it has room. */
         Exchange gathering;
         final Deque<Connection> idle = new ArrayDeque<>();
+        /** Exchanges that wait for an idle connection to have been quiet for long enough. */
+        private int awaitingQuiet;
         /** How long it usually is from the end of an exchange to the next one, as far as seen. */
         private double usualGapNanos;
         private OptionalLong endedAt = OptionalLong.empty();
@@ -282,16 +289,35 @@
             return usualGapNanos <= idleNanos() || !crowded.contains(kind);
         }
 
-        Connection newestIdle() {
-            while (!idle.isEmpty()) {
-                Connection newest = idle.removeLast();
+        /** The newest idle connection that may carry another exchange now; nothing if there is none. */
+        Optional<Connection> takeQuiet() {
+            Iterator<Connection> newestFirst = idle.descendingIterator();
+            while (newestFirst.hasNext()) {
+                Connection connection = newestFirst.next();
+                if (connection.quiet.remainingNanos() > 0) {
+                    continue;
+                }
+                newestFirst.remove();
                 Endpoints.this.idle--;
-                if (newest.isUsable() && nanos.getAsLong() - newest.idleSince <= idleNanos()) {
-                    return newest;
+                if (connection.isUsable() && nanos.getAsLong() - connection.idleSince <= idleNanos()) {
+                    return Optional.of(connection);
                 }
-                newest.close(CloseReason.UNUSABLE);
+                connection.close(CloseReason.UNUSABLE);
             }
-            return null;
+            return Optional.empty();
+        }
+
+        /** Whether an idle connection will soon be quiet, and no other exchange waits for it; the task runs then. */
+        boolean awaitQuiet(Runnable task) {
+            if (idle.size() <= awaitingQuiet) {
+                return false;
+            }
+            awaitingQuiet++;
+            loop.schedule(() -> {
+                awaitingQuiet--;
+                task.run();
+            }, idle.getLast().quiet.remainingNanos(), TimeUnit.NANOSECONDS);
+            return true;
         }
     }
 
@@ -436,11 +462,12 @@
             if (nobodyWaits()) {
                 return;
             }
-            peer.exchangeBegins();
-            Connection kept = peer.newestIdle();
-            if (kept != null) {
-                write(kept);
-            } else {
+            Optional<Connection> kept = peer.takeQuiet();
+            if (kept.isPresent()) {
+                peer.exchangeBegins();
+                write(kept.get());
+            } else if (!peer.awaitQuiet(() -> startOnceAllIsRead(this))) {
+                peer.exchangeBegins();
                 dial = bootstrap.connect(peer.address);
                 Connects.whenDone(loop, dial, this::connected);
             }
@@ -685,6 +712,7 @@
         private Peer peer;
         private Exchange exchange;
         private long idleSince;
+        private final QuietPeriod quiet = new QuietPeriod();
         /** It has brought an answer. */
         private boolean used;
         private boolean interim;
@@ -774,6 +802,7 @@
                     ended.over();
                 }
                 peer.exchangeEnds();
+                quiet.begin();
                 if (ended.leavesConnectionUsable()) {
                     rest();
                 } else {
--- /dev/null
+++ b/src/main/java/kestreldeal/net/QuietPeriod.java
@@ -0,0 +1,24 @@
+package kestreldeal.net;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * How long a kept connection stays quiet behind an answer before it carries the next request. What a peer sends straight
+ * behind its answer has come by then, and ends the connection; a request that was already under way would take it for
+ * its own answer.
+ */
+final class QuietPeriod {
+    private static final long NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+    private long endNanos = System.nanoTime();
+
+    /** An answer has come whole: the period begins. */
+    void begin() {
+        endNanos = System.nanoTime() + NANOS;
+    }
+
+    /** How long it lasts still; 0 once it is over, and before the first answer. */
+    long remainingNanos() {
+        return Math.max(0, endNanos - System.nanoTime());
+    }
+}
