Log what connections were used for, and bytes that belong to no answer

An operator could not see from the logs that an answer had been taken for another request's: connection-closed now names how many exchanges it carried, the bytes that were nobody's, and the time since its last answer, and agent-surplus the same for the platform's agent. The last figure also tells whether the quiet period is long enough.

--- a/src/main/java/kestreldeal/net/Agent.java
+++ b/src/main/java/kestreldeal/net/Agent.java
@@ -40,6 +40,7 @@
     private static final String RESPONSE_HANDLER = "response";
 
     private final EventLoop loop;
+    private final EventLog events = EventLog.ofThisProcess();
     private InetSocketAddress address;
     private final Bootstrap bootstrap;
     private Channel channel;
@@ -202,12 +203,17 @@
             if (awaitsAnswer(ctx.channel())) {
                 ctx.fireChannelRead(input);
             } else {
+                logSurplus("unasked", quiet.elapsedMs());
                 ReferenceCountUtil.release(input);
                 ctx.close();
             }
         }
     }
 
+    private void logSurplus(String where, long quietMs) {
+        events.add("agent-surplus", "where", where, "quiet_ms", quietMs);
+    }
+
     private final class ResponseHandler extends SimpleChannelInboundHandler<Object> {
         /** The answer, until all that came with it is read. */
         private Optional<FullHttpResponse> answer = Optional.empty();
@@ -242,6 +248,9 @@
                 ctx.close();
                 return;
             }
+            if (surplus) {
+                logSurplus("behind-answer", 0);
+            }
             if (surplus || !HttpUtil.isKeepAlive(response)) {
                 disconnect();
             }
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -99,10 +99,21 @@
          * A connection to an endpoint has ended; {@code underRequest}: with a request on it that was not answered.
          * {@code cause}: what the system said, or nothing.
          */
-        default void connectionClosed(long endpoint, CloseReason reason, boolean underRequest, String cause) {
+        default void connectionClosed(long endpoint, CloseReason reason, boolean underRequest, String cause,
+                ConnectionUse use) {
         }
     }
 
+    /**
+     * What a connection was used for until its end.
+     *
+     * @param exchanges how many calls it carried
+     * @param surplusBytes how many bytes came over it that belong to no answer
+     * @param quietMs how long before its end the last answer came; negative if there was none
+     */
+    record ConnectionUse(int exchanges, long surplusBytes, long quietMs) {
+    }
+
     /** Why a connection to an endpoint ended. */
     enum CloseReason {
         /** The endpoint, or the network, ended it. */
@@ -658,10 +669,6 @@
             return keepAlive && surplus.isEmpty() && isProof();
         }
 
-        /** Bytes have come behind the whole answer. */
-        private void surplus(ByteBuf input) {
-            surplus.add(input);
-        }
 
         /** The answer is whole: what it says counts for all its messages, also for those that have left. */
         private void conclude() {
@@ -716,6 +723,8 @@
         /** It has brought an answer. */
         private boolean used;
         private boolean interim;
+        private int exchanges;
+        private long surplusBytes;
         /** Why this side closed it, if it did. */
         private CloseReason closedFor = CloseReason.PEER;
         /** What the system said of its end, if anything. */
@@ -735,17 +744,19 @@
 
         private void begin(Exchange next) {
             exchange = next;
+            exchanges++;
             interim = false;
             channel.pipeline().addBefore(NAME, CODEC, new HttpClientCodec());
         }
 
         private void received(ChannelHandlerContext ctx, ByteBuf input) {
             if (exchange == null || !exchange.flushed) {
+                surplusBytes += input.readableBytes();
                 input.release();
                 strayInput();
             } else if (exchange.complete) {
                 exchange.scanner.scan(input);
-                exchange.surplus(input);
+                surplus(input);
                 input.release();
             } else {
                 exchange.received(input);
@@ -753,6 +764,12 @@
             }
         }
 
+        /** Bytes have come behind the whole answer. */
+        private void surplus(ByteBuf input) {
+            surplusBytes += input.readableBytes();
+            exchange.surplus.add(input);
+        }
+
         /** Nothing was asked, or not yet in full: what came can't be told from an answer. */
         private void strayInput() {
             if (exchange != null) {
@@ -765,7 +782,7 @@
         protected void channelRead0(ChannelHandlerContext ctx, Object part) {
             if (!(part instanceof HttpObject object)) {
                 // The codec hands on what is left behind the end of the answer.
-                exchange.surplus((ByteBuf) part);
+                surplus((ByteBuf) part);
             } else if (exchange == null || object.decoderResult().isFailure()) {
                 close(CloseReason.UNREADABLE_ANSWER);
             } else {
@@ -845,7 +862,7 @@
                 idle--;
             }
             if (peer != null) {
-                ends.connectionClosed(peer.endpoint, closedFor, exchange != null, cause);
+                ends.connectionClosed(peer.endpoint, closedFor, exchange != null, cause, use());
             }
             if (exchange != null) {
                 Exchange broken = exchange;
@@ -854,6 +871,10 @@
             }
         }
 
+        private ConnectionUse use() {
+            return new ConnectionUse(exchanges, surplusBytes, used ? quiet.elapsedMs() : -1);
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable fault) {
             cause = String.valueOf(fault.getMessage());
--- a/src/main/java/kestreldeal/net/QuietPeriod.java
+++ b/src/main/java/kestreldeal/net/QuietPeriod.java
@@ -10,15 +10,22 @@
 final class QuietPeriod {
     private static final long NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
-    private long endNanos = System.nanoTime();
+    private long beginNanos = System.nanoTime();
+    private boolean begun;
 
     /** An answer has come whole: the period begins. */
     void begin() {
-        endNanos = System.nanoTime() + NANOS;
+        begun = true;
+        beginNanos = System.nanoTime();
+    }
+
+    /** How long ago the last answer came whole; before the first one, how long there was none. */
+    long elapsedMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beginNanos);
     }
 
     /** How long it lasts still; 0 once it is over, and before the first answer. */
     long remainingNanos() {
-        return Math.max(0, endNanos - System.nanoTime());
+        return begun ? Math.max(0, beginNanos + NANOS - System.nanoTime()) : 0;
     }
 }
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -715,9 +715,11 @@
         }
 
         @Override
-        public void connectionClosed(long endpoint, Endpoints.CloseReason reason, boolean underRequest, String cause) {
+        public void connectionClosed(long endpoint, Endpoints.CloseReason reason, boolean underRequest, String cause,
+                Endpoints.ConnectionUse use) {
             events.add("connection-closed", "endpoint", registry.id(endpoint), "reason", reason, "under_request",
-                    underRequest, "cause", cause);
+                    underRequest, "cause", cause, "exchanges", use.exchanges(), "surplus_bytes", use.surplusBytes(),
+                    "quiet_ms", use.quietMs());
         }
 
         @Override
--- a/src/test/java/kestreldeal/net/EndpointListWaitTest.java
+++ b/src/test/java/kestreldeal/net/EndpointListWaitTest.java
@@ -53,7 +53,8 @@
             }
 
             @Override
-            public void connectionClosed(long endpoint, Endpoints.CloseReason reason, boolean underRequest, String cause) {
+            public void connectionClosed(long endpoint, Endpoints.CloseReason reason, boolean underRequest, String cause,
+                    Endpoints.ConnectionUse use) {
                 closed.add(reason);
             }
         });
