Take two refusals of calls that were out together for one sign of an outage

Seen: RestartTest#whatARestartAfterAnOrderlyEndFindsUntriedIsStillTried (KNOWN-RED) once beside load: two 429s in one millisecond, and in a new process, with no delivery yet, two bad ends in a row count as an outage; a fleet of 100 then makes no trial in 14 s, and 15 messages were handed back untried. Cause: Logic.noneGood counted ends, not calls. Change: the second end counts only if its call began after the first.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -1183,25 +1183,25 @@
                 case DELIVERED -> good(call, end);
                 case FULL -> {
                     limit.refused(call);
-                    turnedAway(end);
+                    turnedAway(call, end);
                 }
                 case NO_CONNECTION -> {
                     // The calls of one moment count once.
                     if (state != State.UP || call.sentAt >= nextAt) {
-                        turnedAway(end);
+                        turnedAway(call, end);
                         double longest = latency.mean() * Math.pow(2, Math.min(fruitless, CONNECT_BACKOFFS));
                         nextAt = Math.max(nextAt, clock + random.nextDouble() * longest);
                     }
                 }
                 case UNREACHABLE -> {
                     boolean wasDown = state == State.DOWN;
-                    bad(UNREACHABLE_WEIGHT, "refuses connections");
+                    bad(call, UNREACHABLE_WEIGHT, "refuses connections");
                     connectOnly = !wasDown && fruitless == 1;
                 }
-                case ERROR -> bad(BAD_WEIGHT, "loses calls");
+                case ERROR -> bad(call, BAD_WEIGHT, "loses calls");
                 default -> {
                     connections.lost(call);
-                    bad(BAD_WEIGHT, "loses calls");
+                    bad(call, BAD_WEIGHT, "loses calls");
                 }
             }
             if (state == State.WARMING && clock - warmSince >= settings.coldStart().warmMs()) {
@@ -1209,8 +1209,8 @@
             }
         }
 
-        private void turnedAway(AttemptEnd end) {
-            if (noneGood() || end.waitMs() >= SHUT_MS) {
+        private void turnedAway(Call call, AttemptEnd end) {
+            if (noneGood(call) || end.waitMs() >= SHUT_MS) {
                 down("is shut");
             }
         }
@@ -1241,17 +1241,18 @@
             limit.delivered();
         }
 
-        private boolean noneGood() {
+        /** Calls that were out together are one sign: a second one is that of a call which began after it. */
+        private boolean noneGood(Call call) {
+            boolean quiet = fruitless > 0 && call.sentAt >= fruitlessSince && clock - lastGood >= CARRIED_MS;
             if (fruitless++ == 0) {
                 fruitlessSince = clock;
             }
-            boolean quiet = fruitless > 1 && clock - lastGood >= CARRIED_MS;
             return quiet || fruitless >= SHUT_ENDS && clock - fruitlessSince >= SHUT_MS;
         }
 
-        private void bad(double weight, String symptom) {
+        private void bad(Call call, double weight, String symptom) {
             bad += (1 - bad) * weight;
-            if (noneGood() || bad >= DOWN_AT) {
+            if (noneGood(call) || bad >= DOWN_AT) {
                 down(symptom);
             }
         }
--- a/src/test/java/kestreldeal/PaceAndHealthTest.java
+++ b/src/test/java/kestreldeal/PaceAndHealthTest.java
@@ -66,6 +66,17 @@
         assertTrue(moments <= 12, "moments at which connections were tried in 2 s: " + moments);
     }
 
+    @Test
+    void twoRefusalsOfOneMomentAreNoOutageInANewProcess() {
+        Bench b = new Bench(100, 100).list(1, 10);
+        b.takeTogether(2, SAFE, 1);
+        assertEquals(2, b.sends.size());
+        b.until(b.now + 5);
+        b.end(1, 0, Outcome.FULL);
+        b.end(2, 0, Outcome.FULL);
+        assertFalse(b.relay.avoids(10));
+    }
+
     @Test
     void aSilentEndpointGetsSingleTrialsNotItsBacklog() {
         Bench b = new Bench(100).list(1, 10);
