--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -363,6 +363,11 @@
             return report;
         }
 
+        /** How much longer it waits for its end. */
+        private long leftMs() {
+            return Math.max(1, (long) (timeoutMs - (System.nanoTime() - startedNanos) / 1e6));
+        }
+
         private boolean begins() {
             begun = begun || ends.begins(this);
             return begun;
@@ -552,10 +557,9 @@
         }
 
         private FullHttpRequest request() {
-            double longest = calls.stream().mapToDouble(call -> call.timeoutMs).max().orElseThrow();
-            return calls.size() == 1 ? EndpointRequests.single(peer.address, calls.get(0).held, (long) longest)
-                    : EndpointRequests.batch(peer.address, calls.stream().map(call -> call.held).toList(),
-                            (long) longest);
+            long longestMs = calls.stream().mapToLong(Call::leftMs).max().orElseThrow();
+            return calls.size() == 1 ? EndpointRequests.single(peer.address, calls.get(0).held, longestMs)
+                    : EndpointRequests.batch(peer.address, calls.stream().map(call -> call.held).toList(), longestMs);
         }
 
         /** Whether the last byte of the request has gone out, or may yet, as its connection stays open. */
--- a/src/main/java/kestreldeal/net/QuietPeriod.java
+++ b/src/main/java/kestreldeal/net/QuietPeriod.java
@@ -8,7 +8,7 @@
  * its own answer.
  */
 final class QuietPeriod {
-    private static final long NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    private static final long NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
     private long beginNanos = System.nanoTime();
     private boolean begun;
