Count a call whose time is up before it has a connection as not sent, not as unreachable

A call that waits for a kept connection to be quiet, or for the list, and whose time is up meanwhile was reported as a failed connect, by which the module takes its endpoint for down. Nothing was asked of the endpoint yet: it is not sent. SurplusAnswerTest#aCallWhoseTimeIsUpWhileItsConnectionIsQuiet… fails without the change (UNREACHABLE).

--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -380,7 +380,7 @@
             if (!left && mayReadOn && now - exchange.readAtNanos < READ_GAP_NANOS) {
                 Due.next(loop, this::timedOut);
             } else {
-                leave(Interruption.TIMED_OUT);
+                leave(exchange.isBegun() ? Interruption.TIMED_OUT : Interruption.WITHHELD);
             }
         }
 
@@ -489,6 +489,11 @@
             }
         }
 
+        /** Whether the endpoint has anything to do with it yet: it goes over a connection, or one is coming up for it. */
+        private boolean isBegun() {
+            return connection != null || dial != null;
+        }
+
         /** What was given up before its first byte is not sent any more. */
         private boolean nobodyWaits() {
             calls.removeIf(call -> call.left);
--- a/src/test/java/kestreldeal/net/EndpointClient.java
+++ b/src/test/java/kestreldeal/net/EndpointClient.java
@@ -32,6 +32,7 @@
     private volatile int written;
     /** Used on the loop. */
     private Runnable beforeNextStart = () -> { };
+    private Runnable whenNextEnds = () -> { };
 
     EndpointClient(EventLoop loop, InetSocketAddress address) {
         this.loop = loop;
@@ -57,6 +58,11 @@
         beforeNextStart = task;
     }
 
+    /** Runs this once, on the loop, when the next call has ended. */
+    void whenNextEnds(Runnable task) {
+        whenNextEnds = task;
+    }
+
     /** Returns once the loop has read, and done what followed from it. */
     void readAll() {
         for (int turn = 0; turn < 3; turn++) {
@@ -125,6 +131,9 @@
     @Override
     public void ended(Endpoints.Call call, Outcome outcome, boolean gone, double waitMs, boolean open) {
         ends.add(new End(call.held.id, outcome, gone, waitMs));
+        Runnable task = whenNextEnds;
+        whenNextEnds = () -> { };
+        task.run();
     }
 
     @Override
--- a/src/test/java/kestreldeal/net/SurplusAnswerTest.java
+++ b/src/test/java/kestreldeal/net/SurplusAnswerTest.java
@@ -23,6 +23,8 @@
 /** Good answers that bring more than belongs to them: they count, and what came with them answers nothing else. */
 class SurplusAnswerTest {
     private static final double LONG_MS = 20_000;
+    /** Shorter than a kept connection is left quiet. */
+    private static final double HASTY_MS = 5;
     private static final long END_MS = 30_000;
     /** A copy comes so long after the answer was read, or as soon as the next request has come. */
     private static final long MOMENT_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
@@ -150,6 +152,21 @@
         });
     }
 
+    @Test
+    void aCallWhoseTimeIsUpWhileItsConnectionIsQuietTellsNothingOfTheEndpoint() throws Exception {
+        try (Stub stub = new Stub(Stub.status(200, ""))) {
+            EndpointClient client = new EndpointClient(loop, stub.address());
+            client.inLoop(() -> {
+                client.whenNextEnds(() -> client.start(List.of("hasty"), HASTY_MS));
+                client.start(List.of("first"), LONG_MS);
+                return null;
+            });
+            assertEquals(List.of(new End("first", Outcome.DELIVERED, false, 0),
+                    new End("hasty", Outcome.NOT_SENT, false, 0)), client.ends(2, END_MS));
+            assertEquals(1, stub.requests.size());
+        }
+    }
+
     @Test
     void aSecondCopyThatComesAMomentLaterIsNoAnswerToTheNextNotice() throws Exception {
         untilValid("HTTP/1.1 204 x\r\n\r\n", "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", (stub, script) -> {
