Take an answer that names none of a call's messages for another call's, and end its connection

A copy that comes later than the quiet period would answer the next call to several messages: each counted as failed by the endpoint and its key went on, and the connection was kept, on which the true answer then met the call after that. SurplusAnswerTest#anAnswerThatNamesNone… fails without the change (ERROR for BROKEN).

--- a/src/main/java/kestreldeal/net/BatchAnswer.java
+++ b/src/main/java/kestreldeal/net/BatchAnswer.java
@@ -29,6 +29,11 @@
         return lastLineEnds && ids.stream().noneMatch(id -> word(id).isEmpty());
     }
 
+    /** Whether it names any of these messages: one that names none is the answer to another call. */
+    boolean namesAny(Collection<String> ids) {
+        return ids.stream().anyMatch(words::containsKey);
+    }
+
     /** The word for a message, empty if the answer has none or no clear one. */
     String word(String id) {
         return words.getOrDefault(id, UNKNOWN);
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -454,6 +454,8 @@
         private double waitMs;
         /** All of the answer has come. */
         private boolean complete;
+        /** The whole answer proves what it says. */
+        private boolean proven;
         /** What came behind the answer. */
         private final SurplusInput surplus = new SurplusInput();
         /** When bytes of it came last. */
@@ -670,12 +672,13 @@
 
         /** Whether an answer to several messages proves what it says of each: the ids in it tell whose answer it is. */
         private boolean isProof(BatchAnswer answer) {
-            return isReadWhole() && (surplus.isEmpty() || answer.isWhole(calls.stream().map(call -> call.held.id).toList()));
+            List<String> ids = calls.stream().map(call -> call.held.id).toList();
+            return isReadWhole() && (surplus.isEmpty() ? answer.namesAny(ids) : answer.isWhole(ids));
         }
 
         /** Whether its connection can carry another exchange. */
         private boolean leavesConnectionUsable() {
-            return keepAlive && surplus.isEmpty() && isProof();
+            return keepAlive && surplus.isEmpty() && proven;
         }
 
 
@@ -684,10 +687,10 @@
             boolean reports = status == HttpResponseStatus.OK.code() && calls.size() > 1;
             calls.forEach(call -> call.timer.cancel(false));
             BatchAnswer answer = new BatchAnswer(body.toString(StandardCharsets.ISO_8859_1));
-            if (reports && isProof(answer)) {
+            proven = reports ? isProof(answer) : isProof();
+            if (reports && proven) {
                 calls.forEach(call -> call.answered(AttemptOutcomes.reported(answer.word(call.held.id)), waitMs));
             } else {
-                boolean proven = !reports && isProof();
                 AttemptOutcomes.Result all = AttemptOutcomes.answered(scanner.status(), proven, refusal, calls.size());
                 calls.forEach(call -> call.answered(all, waitMs));
             }
--- a/src/test/java/kestreldeal/net/SurplusAnswerTest.java
+++ b/src/test/java/kestreldeal/net/SurplusAnswerTest.java
@@ -75,6 +75,23 @@
         }
     }
 
+    @Test
+    void anAnswerThatNamesNoneOfItsMessagesIsThatOfAnotherCallAndEndsItsConnection() throws Exception {
+        String answer = TestConfig.answer("x accepted\r\ny accepted\r\n");
+        try (Stub stub = new Stub((request, socket) -> Stub.write(socket, answer))) {
+            EndpointClient client = new EndpointClient(loop, stub.address());
+            for (int connection = 0; connection < 2; connection++) {
+                client.inLoop(() -> {
+                    client.start(List.of("a", "b"), LONG_MS);
+                    return null;
+                });
+                assertEquals(List.of(new End("a", Outcome.BROKEN, false, 0), new End("b", Outcome.BROKEN, false, 0)),
+                        client.ends(2, END_MS));
+                assertEquals(connection, stub.requests.get(connection).connection());
+            }
+        }
+    }
+
     /** A first answer, and its copy a moment later: by then the next request may be on its way. Then refusals. */
     private static final class LateCopy implements Stub.Script {
         private final String answer;
