FaultSoakTest: let what has just ended be told before it is judged

The test judges in the moment in which nothing is in flight any more, and the notices of the last ends may then still wait for the quiet connection to the agent.

--- a/src/test/java/kestreldeal/net/FaultSoakTest.java
+++ b/src/test/java/kestreldeal/net/FaultSoakTest.java
@@ -189,6 +189,14 @@
         }
     }
 
+    /** What the sender has just ended is told within the rule's tolerance. */
+    private void awaitNoticesHeard() throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DeadlineRecord.TOLERANCE_MS);
+        while (System.nanoTime() < end && records.values().stream().anyMatch(MessageRecord::isOpen)) {
+            TimeUnit.MILLISECONDS.sleep(2);
+        }
+    }
+
     @ParameterizedTest
     @MethodSource("seeds")
     void everyTakenMessageEndsOnceAndIsNotSentOn(long seed) throws Exception {
@@ -215,6 +223,7 @@
         }
         faultsOver = true;
         awaitAllEnded();
+        awaitNoticesHeard();
         long taken = records.values().stream().filter(record -> record.toString().contains("TAKEN")).count();
         assertTrue(taken > 20, "the soak takes too few messages to mean anything: " + taken);
         String broken = records.values().stream().filter(record -> !record.violations().isEmpty())
