--- a/src/test/java/kestreldeal/net/SoakNode.java
+++ b/src/test/java/kestreldeal/net/SoakNode.java
@@ -429,6 +429,9 @@
                 while (!over.getAsBoolean() && !(serving && current.log().contains("event=list source=DISCOVERY"))) {
                     TimeUnit.MILLISECONDS.sleep(20);
                 }
+                if (over.getAsBoolean()) {
+                    return;
+                }
                 meets(Fault.AGENT_SILENT);
                 long from = fallSilent();
                 TimeUnit.MILLISECONDS.sleep(draw(LONGEST_SILENCE_MS));
