--- a/review/stand-ins/Kit.java
+++ b/review/stand-ins/Kit.java
@@ -394,28 +394,35 @@
                 Call call = new Call(this, connection, messages, batch);
                 calls.add(call);
                 log("call at " + name + " connection " + connection + " " + ids(messages));
+                Thread watcher = start(() -> watchEnd(in, call));
                 byte[] answer = behaviour.answer(call);
                 if (answer == null) {
-                    awaitEnd(socket, in);
-                    call.overAt = now();
+                    watcher.join();
                     log("connection " + connection + " of " + name + " ends with no answer for " + ids(messages));
                     return;
                 }
                 try {
                     socket.getOutputStream().write(answer);
                 } finally {
-                    call.overAt = now();
+                    call.overAt = Math.min(call.overAt, now());
                 }
                 log("answer of " + name + " on connection " + connection + " for " + ids(messages));
+                watcher.join();
             }
         }
 
-        private static void awaitEnd(Socket socket, InputStream in) {
+        /** Notes the end of a call's connection before its answer; keeps the first byte of the next call. */
+        private static void watchEnd(InputStream in, Call call) {
             try {
-                in.transferTo(OutputStream.nullOutputStream());
+                in.mark(1);
+                if (in.read() >= 0) {
+                    in.reset();
+                    return;
+                }
             } catch (IOException e) {
                 // Reset by the sender.
             }
+            call.overAt = Math.min(call.overAt, now());
         }
 
         private static List<Received> batch(byte[] body) throws IOException {
