--- a/review/stand-ins/ManyAtOnce.java
+++ b/review/stand-ins/ManyAtOnce.java
@@ -15,7 +15,7 @@
  */
 final class ManyAtOnce {
     private static final String REQUEST = System.getProperty("request", "GET /") + " HTTP/1.1\r\n\r\n";
-    private static final double PEER_STAYS_MS = Integer.getInteger("stays", 6000);
+    private static final double PEER_STAYS_MS = Integer.getInteger("stays", 12_000);
     private static final int MOST_BYTES = 60_000_000;
     /** The page's half second after the time of a message, and 50 ms that each limit is longer on sockets. */
     private static final double GRACE_MS = 550;
@@ -57,17 +57,24 @@
             }
         });
         Kit.sleep(2500);
-        // A clump for one school system, as many as it takes in 3 s.
-        Kit.Client clump = new Kit.Client(sender.listen);
-        for (int i = 0; i < 6; i++) {
-            submit(clump, new Kit.Message(Kit.newId(), "status-sync", "", 3, 5000, "clump " + i));
-        }
+        // Clumps for one school system, each as many as it takes in 2.5 s.
+        Thread clumps = Kit.start(() -> {
+            Kit.Client clump = new Kit.Client(sender.listen);
+            for (int i = 0; i < 25; i++) {
+                submit(clump, new Kit.Message(Kit.newId(), "status-sync", "", 3, 5000, "clump " + i));
+                if (i % 5 == 4) {
+                    Kit.sleep(2500);
+                }
+            }
+        });
+        Kit.sleep(1000);
         double peerLeftAt = Kit.now();
         if (trouble) {
             peer(sender.listen);
             peerLeftAt = Kit.now();
         }
         traffic.join();
+        clumps.join();
         // What is served now, long after the peer has gone.
         int served = 0;
         Kit.Client later = new Kit.Client(sender.listen);
@@ -126,7 +133,7 @@
         };
     }
 
-    /** Sends as much as the sender takes, for some seconds, and closes the connection. */
+    /** Sends as much as the sender takes, until that closes the connection or for some seconds, and goes. */
     private static void peer(String address) {
         long[] sent = new long[1];
         try (Socket socket = new Socket()) {
