Answer a client's pipelined requests one at a time, and close if it reads no answer

Cause: SubmissionServer read and decoded all that a connection brought, whether or not its answers were taken off.

Change: RequestDecoder decodes one request of a connection, holds the bytes behind it, and pauses reading while there are any, until the answer is written; then the next request has its turn in the next pass of the event loop. So a connection holds one answer and one read. A connection whose answer is not taken off in 2 s is closed (ANSWER_NOT_READ). A connection with a request that waits no longer counts as idle, and the time limit of a request that began behind another one starts with its turn.

--- a/src/main/java/starlingvalve/net/MessageRules.java
+++ b/src/main/java/starlingvalve/net/MessageRules.java
@@ -92,8 +92,10 @@
      * behaviour is a valid reason.
      */
     static boolean mayClose(SubmissionServer.CloseReason reason, boolean underRequest) {
-        return !underRequest || reason == SubmissionServer.CloseReason.REQUEST_NOT_WHOLE
-                || reason == SubmissionServer.CloseReason.BROKEN || reason == SubmissionServer.CloseReason.PEER;
+        return !underRequest || switch (reason) {
+            case REQUEST_NOT_WHOLE, ANSWER_NOT_READ, BROKEN, PEER -> true;
+            case IDLE, MAKES_ROOM, NO_ROOM, SENT_AWAY -> false;
+        };
     }
 
     /** How often this violation was prevented or observed. */
--- a/src/main/java/starlingvalve/net/SubmissionServer.java
+++ b/src/main/java/starlingvalve/net/SubmissionServer.java
@@ -23,12 +23,12 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.GenericProgressiveFutureListener;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
@@ -54,6 +54,8 @@
     private static final int IDLE_TIMEOUT_S = 10;
     /** Time for a complete request to arrive, from the start of the connection or from the request's first byte. */
     private static final long REQUEST_TIMEOUT_MS = 2000;
+    /** Time for a client to take off an answer, so that the whole of it can be written. */
+    private static final long ANSWER_TIMEOUT_MS = 2000;
     /**
      * Connections between requests are closed this long after a drain has begun or a successor listens, and then every
      * {@link #IDLE_CLOSE_PERIOD_MS}.
@@ -177,6 +179,8 @@
         SENT_AWAY,
         /** Its request did not arrive completely in time. */
         REQUEST_NOT_WHOLE,
+        /** The client did not take off its answer in time. */
+        ANSWER_NOT_READ,
         /** The connection failed, or its input can't be read. */
         BROKEN,
         /** The client closed the connection before its request was answered. */
@@ -229,8 +233,9 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
+                RequestDecoder decoder = new RequestDecoder();
                 channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_S), new ClientRequestDeadline(),
-                        new HttpServerCodec(), new BodyAggregator(), new ClientHandler());
+                        decoder, new ResponseEncoder(decoder), new BodyAggregator(), new ClientHandler(decoder));
             }
         };
     }
@@ -307,7 +312,7 @@
      */
     void stopReading() {
         readingStopped = true;
-        clients.forEach(client -> client.config().setAutoRead(false));
+        clients.forEach(client -> client.pipeline().get(RequestDecoder.class).stop());
     }
 
     /**
@@ -409,11 +414,16 @@
 
     /** Handles the requests of one client's connection. */
     private final class ClientHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final RequestDecoder decoder;
         /** Whether the last answer of this connection is sent, so that further input is ignored. */
         private boolean lastResponseSent;
         /** Whether the submission handler was notified of the close. */
         private boolean closeReported;
 
+        ClientHandler(RequestDecoder decoder) {
+            this.decoder = decoder;
+        }
+
         /** Notifies the submission handler, once, why this connection is closed. */
         private void reportClose(Channel client, CloseReason reason, String cause) {
             if (!closeReported && !lastResponseSent) {
@@ -427,7 +437,7 @@
             addIdle(ctx.channel());
             clients.add(ctx.channel());
             if (readingStopped) {
-                ctx.channel().config().setAutoRead(false);
+                decoder.stop();
             }
             if (clients.size() > maxClients) {
                 closeLongestIdle();
@@ -508,13 +518,30 @@
             if (lastResponse) {
                 lastResponseSent = true;
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            } else if (ctx.channel().isActive()) {
+            } else if (ctx.channel().isActive() && !decoder.hasHeldInput()) {
                 // A connection that closed before its verdict came would stay among the idle ones forever, and
                 // closing it would make no room.
                 addIdle(ctx.channel());
             }
             ChannelFuture written = ctx.writeAndFlush(response, promise);
-            return lastResponse ? written.addListener(ChannelFutureListener.CLOSE) : written;
+            closeUnlessTaken(ctx.channel(), written);
+            if (!lastResponse) {
+                return written.addListener(sent -> decoder.requestAnswered());
+            }
+            if (decoder.hasHeldInput()) {
+                LingeringClose.after(written);
+                return written;
+            }
+            return written.addListener(ChannelFutureListener.CLOSE);
+        }
+
+        /** Closes the connection if the client does not take its answer off in time. */
+        private void closeUnlessTaken(Channel client, ChannelFuture written) {
+            if (!written.isDone()) {
+                Future<?> timer = client.eventLoop().schedule(() -> close(client, CloseReason.ANSWER_NOT_READ),
+                        ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+                written.addListener(sent -> timer.cancel(false));
+            }
         }
 
         @Override
--- a/src/test/java/starlingvalve/net/MessageRulesTest.java
+++ b/src/test/java/starlingvalve/net/MessageRulesTest.java
@@ -96,7 +96,7 @@
         for (SubmissionServer.CloseReason reason : SubmissionServer.CloseReason.values()) {
             assertTrue(MessageRules.mayClose(reason, false));
             boolean causedByClient = switch (reason) {
-                case REQUEST_NOT_WHOLE, BROKEN, PEER -> true;
+                case REQUEST_NOT_WHOLE, ANSWER_NOT_READ, BROKEN, PEER -> true;
                 case IDLE, MAKES_ROOM, NO_ROOM, SENT_AWAY -> false;
             };
             assertEquals(causedByClient, MessageRules.mayClose(reason, true), reason.name());
--- a/src/test/java/starlingvalve/net/SubmissionServerTest.java
+++ b/src/test/java/starlingvalve/net/SubmissionServerTest.java
@@ -182,6 +182,52 @@
         assertFalse(client.isOpen(), "not closed though idle");
     }
 
+    /** Guards against submissions without bound that one client sends at once while a handover delays the verdicts. */
+    @Test
+    void nextPipelinedRequestIsSubmittedOnceTheOneBeforeIsAnswered() {
+        DelayedVerdictHandler delayed = new DelayedVerdictHandler();
+        SubmissionServer server = new SubmissionServer(new DefaultEventLoop(), 1, delayed);
+        EmbeddedChannel client = client(server);
+        send(client, request("one", 5) + "hello" + request("two", 5) + "hello" + request("three", 5) + "he");
+        assertEquals(1, delayed.callbacks.size());
+        assertFalse(client.config().isAutoRead(), "reads on though requests are waiting");
+        delayed.callbacks.get(0).accept(SubmissionServer.Verdict.refused("not now"));
+        client.runPendingTasks();
+        assertEquals(2, delayed.callbacks.size());
+        delayed.callbacks.get(1).accept(SubmissionServer.Verdict.refused("not now"));
+        client.runPendingTasks();
+        assertTrue(client.config().isAutoRead(), "does not read the rest of the last request");
+        send(client, "llo");
+        assertEquals(3, delayed.callbacks.size());
+        assertTrue(client.isOpen());
+    }
+
+    /** Guards against a request that was read and is closed unanswered: its connection is not between requests. */
+    @Test
+    void connectionWithWaitingRequestIsNotClosedForNewOne() {
+        DelayedVerdictHandler delayed = new DelayedVerdictHandler();
+        SubmissionServer server = new SubmissionServer(new DefaultEventLoop(), 1, delayed);
+        EmbeddedChannel client = client(server);
+        send(client, request("one", 0) + request("two", 0));
+        delayed.callbacks.get(0).accept(SubmissionServer.Verdict.refused("not now"));
+        EmbeddedChannel newest = client(server);
+        assertTrue(client.isOpen());
+        assertFalse(newest.isOpen());
+    }
+
+    /** Guards against a stalled request without a time limit: its first bytes arrived together with another request. */
+    @Test
+    void requestTimeoutAppliesToRequestThatBeganBehindAnother() {
+        EmbeddedChannel client = client();
+        send(client, request("whole", 0) + request("half", 10));
+        client.runPendingTasks();
+        assertEquals(List.of("whole"), handler.ids);
+        advanceTime(client, 1900);
+        assertTrue(client.isOpen());
+        advanceTime(client, 200);
+        assertFalse(client.isOpen());
+    }
+
     /** The event loop is blocked while more clients connect than are allowed; then all are accepted at once. */
     @Test
     void closeAcceptsBacklogUpToLimitAndClosesTheRestUnread() throws Exception {
