--- a/src/main/java/starlingvalve/net/AgentConnection.java
+++ b/src/main/java/starlingvalve/net/AgentConnection.java
@@ -277,6 +277,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            OutOfMemoryExit.exitIfExhausted(cause);
             ctx.close();
         }
     }
--- a/src/main/java/starlingvalve/net/Endpoints.java
+++ b/src/main/java/starlingvalve/net/Endpoints.java
@@ -965,6 +965,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable fault) {
+            OutOfMemoryExit.exitIfExhausted(fault);
             cause = String.valueOf(fault.getMessage());
             if (!(fault instanceof IOException)) {
                 Log.line("fault in a connection to an endpoint, which is closed: " + fault);
--- a/src/main/java/starlingvalve/net/HandoverConnection.java
+++ b/src/main/java/starlingvalve/net/HandoverConnection.java
@@ -76,6 +76,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            OutOfMemoryExit.exitIfExhausted(cause);
             Log.line("the other process can't be understood: " + cause);
             ctx.close();
         }
--- a/src/main/java/starlingvalve/net/OperatorServer.java
+++ b/src/main/java/starlingvalve/net/OperatorServer.java
@@ -150,6 +150,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            OutOfMemoryExit.exitIfExhausted(cause);
             ctx.close();
         }
     }
--- a/src/main/java/starlingvalve/net/SubmissionServer.java
+++ b/src/main/java/starlingvalve/net/SubmissionServer.java
@@ -553,6 +553,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            OutOfMemoryExit.exitIfExhausted(cause);
             close(ctx.channel(), CloseReason.BROKEN, String.valueOf(cause.getMessage()));
         }
     }
