Never decode what follows a refused request: its body was delivered as messages

They were text in a body over 64 KiB, sent with Expect: 100-continue by a peer that did not wait.

Cause: the library's aggregator refuses such a request with 413, or with 417 for another expectation, and then resets the decoder on a connection that stays open, so the body is decoded as requests. The operators' port, where it was told to close, carried out commands from such a body before the close.

Change: RequestAssembler collects requests at both servers. A request that it refuses before the last byte is the last one of its connection: RequestDecoder drops all input from then on, and LingeringClose closes once the peer has closed, or after 1 s. 400 for unreadable requests goes the same way. A refusal with 413 or 417 now has its log line.

Seen to fail on: SubmissionServerTest.bodyOfRefusedRequestIsNotReadAsRequests, OperatorServerTest.bodyOfRefusedRequestIsNotReadAsCommand (two drains carried out), and SubmissionServerPropertyTest with its four new forms.

--- a/src/main/java/starlingvalve/net/LingeringClose.java
+++ b/src/main/java/starlingvalve/net/LingeringClose.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.socket.DuplexChannel;
 import java.util.concurrent.TimeUnit;
 
@@ -17,6 +18,17 @@
     private LingeringClose() {
     }
 
+    /**
+     * Closes the connection behind an answer to a complete request: at once if no input follows that request.
+     */
+    static void afterCompleteRequest(ChannelFuture answerWritten) {
+        if (answerWritten.channel().pipeline().get(RequestDecoder.class).hasHeldInput()) {
+            after(answerWritten);
+        } else {
+            answerWritten.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
     /** Drops all further input, and closes the connection once the answer is written and the peer has closed. */
     static void after(ChannelFuture answerWritten) {
         Channel channel = answerWritten.channel();
--- a/src/main/java/starlingvalve/net/OperatorServer.java
+++ b/src/main/java/starlingvalve/net/OperatorServer.java
@@ -3,7 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -15,9 +15,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.io.IOException;
@@ -40,7 +38,7 @@
     static final int MAX_CONNECTIONS = 16;
     /** Time within which a request must be complete. */
     private static final long REQUEST_TIMEOUT_MS = 2500;
-    /** Limit on a request's body; a longer one is not read, since the body is ignored. */
+    /** Limit on a request's body, which is ignored; a request with a longer one is refused. */
     private static final int MAX_BODY_BYTES = 4096;
     private static final Pattern ENDPOINT_PATH = Pattern.compile("/endpoints/([^/]+)/(maint|ready)");
 
@@ -106,16 +104,16 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new RequestDeadline(REQUEST_TIMEOUT_MS), new HttpServerCodec(),
-                        new HttpObjectAggregator(MAX_BODY_BYTES, true), new RequestHandler());
+                RequestDecoder decoder = new RequestDecoder();
+                channel.pipeline().addLast(new RequestDeadline(REQUEST_TIMEOUT_MS), decoder,
+                        new ResponseEncoder(decoder), new RequestAssembler(decoder, MAX_BODY_BYTES),
+                        new RequestHandler());
             }
         };
     }
 
-    /** Answers the first request of a connection and ignores any further one. */
+    /** Answers the first request of a connection, and closes it; no further request is decoded. */
     private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private boolean requestReceived;
-
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             connections.add(ctx.channel());
@@ -133,19 +131,27 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            if (requestReceived) {
-                return;
-            }
-            requestReceived = true;
             ctx.pipeline().get(RequestDeadline.class).requestComplete();
-            execute(request, answer -> {
-                FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, answer.status(),
-                        Unpooled.copiedBuffer(answer.text(), StandardCharsets.UTF_8));
-                response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
-                        .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN)
-                        .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-                ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
-            });
+            execute(request, answer -> LingeringClose.afterCompleteRequest(write(ctx, answer)));
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event instanceof RequestRefused refusal) {
+                ctx.pipeline().get(RequestDeadline.class).requestComplete();
+                LingeringClose.after(write(ctx, Answer.error(refusal.status(), refusal.reason())));
+            }
+        }
+
+        private static ChannelFuture write(ChannelHandlerContext ctx, Answer answer) {
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, answer.status(),
+                    Unpooled.copiedBuffer(answer.text(), StandardCharsets.UTF_8));
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
+                    .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN)
+                    .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            ChannelFuture written = ctx.writeAndFlush(response);
+            AnswerTimeout.start(written, ctx::close);
+            return written;
         }
 
         @Override
@@ -157,10 +163,6 @@
 
     /** Finds the command of a request and carries it out. */
     private void execute(FullHttpRequest request, Consumer<Answer> callback) {
-        if (request.decoderResult().isFailure()) {
-            callback.accept(Answer.error(HttpResponseStatus.BAD_REQUEST, "not HTTP"));
-            return;
-        }
         String path = request.uri().split("\\?", 2)[0];
         Matcher matcher = ENDPOINT_PATH.matcher(path);
         boolean changesState = matcher.matches() || path.equals("/healthcheck/fail") || path.equals("/healthcheck/ok");
--- a/src/main/java/starlingvalve/net/SubmissionServer.java
+++ b/src/main/java/starlingvalve/net/SubmissionServer.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -19,16 +18,13 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
-import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.GenericProgressiveFutureListener;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
@@ -54,8 +50,6 @@
     private static final int IDLE_TIMEOUT_S = 10;
     /** Time for a complete request to arrive, from the start of the connection or from the request's first byte. */
     private static final long REQUEST_TIMEOUT_MS = 2000;
-    /** Time for a client to take off an answer, so that the whole of it can be written. */
-    private static final long ANSWER_TIMEOUT_MS = 2000;
     /**
      * Connections between requests are closed this long after a drain has begun or a successor listens, and then every
      * {@link #IDLE_CLOSE_PERIOD_MS}.
@@ -235,7 +229,8 @@
             protected void initChannel(Channel channel) {
                 RequestDecoder decoder = new RequestDecoder();
                 channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_S), new ClientRequestDeadline(),
-                        decoder, new ResponseEncoder(decoder), new BodyAggregator(), new ClientHandler(decoder));
+                        decoder, new ResponseEncoder(decoder), new RequestAssembler(decoder, MAX_BODY_BYTES),
+                        new ClientHandler(decoder));
             }
         };
     }
@@ -395,23 +390,6 @@
         }
     }
 
-    /** Collects request bodies; one that is too long is answered with 413, and further input is read and dropped. */
-    private static final class BodyAggregator extends HttpObjectAggregator {
-        BodyAggregator() {
-            super(MAX_BODY_BYTES);
-        }
-
-        @Override
-        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-            FullHttpResponse response = response(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 64 KiB");
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            ctx.pipeline().get(ClientHandler.class).lastResponseSent = true;
-            // If closed at once, the connection would be reset before a client that still sends reads the answer.
-            ctx.writeAndFlush(response).addListener(f -> ctx.executor().schedule(() -> ctx.close(), 1,
-                    TimeUnit.SECONDS));
-        }
-    }
-
     /** Handles the requests of one client's connection. */
     private final class ClientHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final RequestDecoder decoder;
@@ -461,16 +439,13 @@
             ctx.pipeline().get(ClientRequestDeadline.class).requestComplete();
             removeIdle(ctx.channel());
             String path = request.uri().split("\\?", 2)[0];
-            if (request.decoderResult().isFailure()) {
-                respond(ctx, request, HttpResponseStatus.BAD_REQUEST, "not HTTP", true);
-            } else if (path.equals("/healthz")) {
+            if (path.equals("/healthz")) {
                 respond(ctx, request, handler.ready() && !draining ? HttpResponseStatus.OK
-                        : HttpResponseStatus.SERVICE_UNAVAILABLE, "", false);
+                        : HttpResponseStatus.SERVICE_UNAVAILABLE, "");
             } else if (!handler.knowsClass(path.split("/", 3).length > 1 ? path.split("/", 3)[1] : "")) {
-                respond(ctx, request, HttpResponseStatus.NOT_FOUND, "no such path", false);
+                respond(ctx, request, HttpResponseStatus.NOT_FOUND, "no such path");
             } else if (!request.method().equals(HttpMethod.POST)) {
-                respond(ctx, request, HttpResponseStatus.METHOD_NOT_ALLOWED, "messages are handed in by POST",
-                        false);
+                respond(ctx, request, HttpResponseStatus.METHOD_NOT_ALLOWED, "messages are handed in by POST");
             } else {
                 submit(ctx, request, path);
             }
@@ -481,7 +456,7 @@
             try {
                 submission = submissionReader.read(request, path.split("/", 3)[1]);
             } catch (InvalidInputException invalid) {
-                respond(ctx, request, HttpResponseStatus.BAD_REQUEST, invalid.getMessage(), false);
+                respond(ctx, request, HttpResponseStatus.BAD_REQUEST, invalid.getMessage());
                 return;
             }
             boolean close = !HttpUtil.isKeepAlive(request);
@@ -500,19 +475,17 @@
             });
         }
 
-        private ChannelFuture respond(ChannelHandlerContext ctx, FullHttpRequest request,
-                HttpResponseStatus status, String text, boolean close) {
-            if (status.codeClass() == HttpStatusClass.CLIENT_ERROR) {
-                handler.rejected(status, text);
-            }
-            return respond(ctx, close || !HttpUtil.isKeepAlive(request), response(status, text));
+        private void respond(ChannelHandlerContext ctx, FullHttpRequest request, HttpResponseStatus status,
+                String text) {
+            reportIfRejected(status, text);
+            respond(ctx, !HttpUtil.isKeepAlive(request), response(status, text));
         }
 
-        private ChannelFuture respond(ChannelHandlerContext ctx, boolean close, FullHttpResponse response) {
-            return respond(ctx, close, response, ctx.newPromise());
+        private void respond(ChannelHandlerContext ctx, boolean close, FullHttpResponse response) {
+            respond(ctx, close, response, ctx.newPromise());
         }
 
-        private ChannelFuture respond(ChannelHandlerContext ctx, boolean close, FullHttpResponse response,
+        private void respond(ChannelHandlerContext ctx, boolean close, FullHttpResponse response,
                 ChannelPromise promise) {
             boolean lastResponse = close || closing || draining || successorListens;
             if (lastResponse) {
@@ -524,23 +497,31 @@
                 addIdle(ctx.channel());
             }
             ChannelFuture written = ctx.writeAndFlush(response, promise);
-            closeUnlessTaken(ctx.channel(), written);
-            if (!lastResponse) {
-                return written.addListener(sent -> decoder.requestAnswered());
+            AnswerTimeout.start(written, () -> close(ctx.channel(), CloseReason.ANSWER_NOT_READ));
+            if (lastResponse) {
+                LingeringClose.afterCompleteRequest(written);
+            } else {
+                written.addListener(sent -> decoder.requestAnswered());
             }
-            if (decoder.hasHeldInput()) {
-                LingeringClose.after(written);
-                return written;
+        }
+
+        /** Answers a request that is not complete, and closes the connection behind the answer. */
+        private void refuse(ChannelHandlerContext ctx, RequestRefused refusal) {
+            if (lastResponseSent) {
+                return;
             }
-            return written.addListener(ChannelFutureListener.CLOSE);
+            lastResponseSent = true;
+            ctx.pipeline().get(ClientRequestDeadline.class).requestComplete();
+            removeIdle(ctx.channel());
+            reportIfRejected(refusal.status(), refusal.reason());
+            FullHttpResponse response = response(refusal.status(), refusal.reason());
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            LingeringClose.after(ctx.writeAndFlush(response));
         }
 
-        /** Closes the connection if the client does not take its answer off in time. */
-        private void closeUnlessTaken(Channel client, ChannelFuture written) {
-            if (!written.isDone()) {
-                Future<?> timer = client.eventLoop().schedule(() -> close(client, CloseReason.ANSWER_NOT_READ),
-                        ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
-                written.addListener(sent -> timer.cancel(false));
+        private void reportIfRejected(HttpResponseStatus status, String reason) {
+            if (status.codeClass() == HttpStatusClass.CLIENT_ERROR) {
+                handler.rejected(status, reason);
             }
         }
 
@@ -548,6 +529,8 @@
         public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
             if (event instanceof IdleStateEvent) {
                 close(ctx.channel(), CloseReason.IDLE);
+            } else if (event instanceof RequestRefused refusal) {
+                refuse(ctx, refusal);
             }
         }
 
--- a/src/test/java/starlingvalve/net/OperatorServerTest.java
+++ b/src/test/java/starlingvalve/net/OperatorServerTest.java
@@ -107,4 +107,28 @@
         assertFalse(silent.isOpen(), "the oldest connection is closed");
         assertEquals(List.of(), commands);
     }
+
+    /** Guards against commands that no operator has sent: the body of a refused request was read as a request. */
+    @Test
+    void bodyOfRefusedRequestIsNotReadAsCommand() {
+        for (String expectation : List.of("100-continue", "wonders")) {
+            EmbeddedChannel client = connect();
+            send(client, "POST /endpoints/s-1/maint HTTP/1.1\r\nHost: x\r\nExpect: " + expectation
+                    + "\r\nContent-Length: 5000\r\n\r\nPOST /healthcheck/fail HTTP/1.1\r\nHost: x\r\n\r\n");
+            client.advanceTimeBy(LingeringClose.LINGER_MS, TimeUnit.MILLISECONDS);
+            client.runPendingTasks();
+            assertFalse(client.isOpen());
+        }
+        assertEquals(List.of(), commands);
+    }
+
+    @Test
+    void onlyTheFirstOfSeveralRequestsIsAnswered() {
+        EmbeddedChannel client = connect();
+        send(client, "POST /healthcheck/fail HTTP/1.1\r\nHost: x\r\n\r\n".repeat(3));
+        client.advanceTimeBy(LingeringClose.LINGER_MS, TimeUnit.MILLISECONDS);
+        client.runPendingTasks();
+        assertFalse(client.isOpen());
+        assertEquals(List.of("drain true"), commands);
+    }
 }
--- a/src/test/java/starlingvalve/net/SubmissionServerPropertyTest.java
+++ b/src/test/java/starlingvalve/net/SubmissionServerPropertyTest.java
@@ -53,6 +53,14 @@
         UNKNOWN_ENCODING(false),
         /** A body over the size limit, with the text of another request at its end. */
         TOO_LONG(false),
+        /** As before, sent by a client that expects a 100 and does not wait for it. */
+        TOO_LONG_EXPECTING_CONTINUE(false),
+        /** A body in chunks over the size limit, by such a client, with the text of another request at its end. */
+        TOO_LONG_CHUNKED_EXPECTING_CONTINUE(false),
+        /** A valid request by such a client. */
+        VALID_EXPECTING_CONTINUE(true),
+        /** An expectation that is not known, with a body that is the text of another request. */
+        UNKNOWN_EXPECTATION(false),
         /** An invalid request line. */
         BAD_FIRST_LINE(false),
         /** An invalid header line. */
@@ -130,6 +138,13 @@
             case UNKNOWN_ENCODING -> plain(id, "Transfer-Encoding: folded", hidden);
             case TOO_LONG -> plain(id, "Content-Length: " + (MAX_BODY_BYTES + 1 + hidden.length()),
                     "x".repeat(MAX_BODY_BYTES + 1) + hidden);
+            case TOO_LONG_EXPECTING_CONTINUE -> plain(id, "Expect: 100-continue\r\nContent-Length: "
+                    + (MAX_BODY_BYTES + 1 + hidden.length()), hidden + "x".repeat(MAX_BODY_BYTES + 1));
+            case TOO_LONG_CHUNKED_EXPECTING_CONTINUE -> plain(id,
+                    "Expect: 100-continue\r\nTransfer-Encoding: chunked", "10001\r\n" + "x".repeat(MAX_BODY_BYTES + 1)
+                    + "\r\n0\r\n\r\n" + hidden);
+            case VALID_EXPECTING_CONTINUE -> plain(id, "Expect: 100-continue\r\nContent-Length: 5", "hello");
+            case UNKNOWN_EXPECTATION -> plain(id, "Expect: wonders\r\nContent-Length: " + hidden.length(), hidden);
             case BAD_FIRST_LINE -> plain(id, "Content-Length: 0", "").replace("HTTP/1.1", "HTP/1.1");
             case BAD_HEADER -> plain(id, "no colon here\r\nContent-Length: 0", "");
             case STRAY -> "stray bytes of nobody" + LINE_END + LINE_END;
--- a/src/test/java/starlingvalve/net/SubmissionServerTest.java
+++ b/src/test/java/starlingvalve/net/SubmissionServerTest.java
@@ -182,6 +182,59 @@
         assertFalse(client.isOpen(), "not closed though idle");
     }
 
+    private static String readAnswers(EmbeddedChannel client) {
+        StringBuilder answers = new StringBuilder();
+        for (ByteBuf part = client.readOutbound(); part != null; part = client.readOutbound()) {
+            answers.append(part.toString(StandardCharsets.ISO_8859_1));
+            part.release();
+        }
+        return answers.toString();
+    }
+
+    /** Guards against messages that no client has submitted: the body of a refused request was read as requests. */
+    @Test
+    void bodyOfRefusedRequestIsNotReadAsRequests() {
+        String hidden = request("hidden", 0);
+        for (String expectation : List.of("", "Expect: 100-continue\r\n", "Expect: wonders\r\n")) {
+            for (String framing : List.of("Content-Length: 70000", "Transfer-Encoding: chunked")) {
+                EmbeddedChannel client = client();
+                String head = request("refused", 0).replace("Content-Length: 0", expectation + framing);
+                boolean chunked = framing.startsWith("Transfer");
+                String chunk = chunked ? "11170\r\n" + "x".repeat(0x11170) + "\r\n0\r\n\r\n" : "";
+                send(client, head + chunk + hidden);
+                send(client, hidden.repeat(700));
+                advanceTime(client, LingeringClose.LINGER_MS - 1);
+                String answers = readAnswers(client);
+                String status = expectation.contains("wonders") ? "417" : "413";
+                assertTrue(answers.replace("HTTP/1.1 100 Continue\r\n\r\n", "").startsWith("HTTP/1.1 " + status + " "),
+                        answers);
+                assertTrue(client.isOpen(), "closed while its answer is on its way");
+                advanceTime(client, 2);
+                assertFalse(client.isOpen(), expectation + framing);
+            }
+        }
+        assertEquals(List.of(), handler.ids);
+    }
+
+    @Test
+    void expectedContinueIsSentBeforeTheBody() {
+        EmbeddedChannel client = client();
+        send(client, request("waits", 5).replace("Host: x", "Host: x\r\nExpect: 100-continue"));
+        assertEquals("HTTP/1.1 100 Continue\r\n\r\n", readAnswers(client));
+        send(client, "hello");
+        assertTrue(readAnswers(client).startsWith("HTTP/1.1 202 "));
+        assertEquals(List.of("waits"), handler.ids);
+        assertTrue(client.isOpen());
+    }
+
+    @Test
+    void answerToHeadRequestHasNoBody() {
+        EmbeddedChannel client = client();
+        send(client, "HEAD /nothing-here HTTP/1.1\r\nHost: x\r\n\r\n");
+        String answer = readAnswers(client);
+        assertTrue(answer.startsWith("HTTP/1.1 404 ") && answer.endsWith("\r\n\r\n"), answer);
+    }
+
     /** Guards against submissions without bound that one client sends at once while a handover delays the verdicts. */
     @Test
     void nextPipelinedRequestIsSubmittedOnceTheOneBeforeIsAnswered() {
