Bound what unfinished requests of all clients hold, and read into heap buffers

Cause: bodies were kept as slices of the direct buffers that they were read into, of 32 or 64 KiB even for a piece of 100 bytes. The log has 55 failures to reserve direct memory, of which all 16 MB were in use for 3.9 MB of input, and each failure held up the event loop for 0.55 s (loop-held-up late_ms=28684). Nothing bounded the sum of all clients.

Change: ReadBuffers reads into heap buffers, small ones where many peers may connect; it takes the place of InterruptTolerantReads. RequestMemory keeps the bytes of all incomplete requests within a sixth of the heap and refuses the one that has been incomplete for longest above that.

--- a/src/main/java/starlingvalve/net/AgentConnection.java
+++ b/src/main/java/starlingvalve/net/AgentConnection.java
@@ -83,6 +83,7 @@
         this.address = address;
         this.bootstrap = new Bootstrap().group(loop).channelFactory(channels)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new ReadBuffers(ReadBuffers.LARGE_BYTES))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
--- a/src/main/java/starlingvalve/net/Endpoints.java
+++ b/src/main/java/starlingvalve/net/Endpoints.java
@@ -200,6 +200,7 @@
         this.maxIdleConnections = maxIdleConnections;
         this.bootstrap = new Bootstrap().group(loop).channelFactory(channels)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new ReadBuffers(ReadBuffers.SMALL_BYTES))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(dialTimeoutMs))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
--- a/src/main/java/starlingvalve/net/Handover.java
+++ b/src/main/java/starlingvalve/net/Handover.java
@@ -112,7 +112,7 @@
         }
         ChannelFuture bound = new ServerBootstrap().group(acceptor, loop).channel(NioServerDomainSocketChannel.class)
                 .handler(new AcceptRetry())
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new InterruptTolerantReads())
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new ReadBuffers(ReadBuffers.LARGE_BYTES))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/src/main/java/starlingvalve/net/OperatorServer.java
+++ b/src/main/java/starlingvalve/net/OperatorServer.java
@@ -70,6 +70,9 @@
         void drain(boolean on, Consumer<Answer> callback);
     }
 
+    /** Never exceeded: each connection holds a head and a body at most. */
+    private final RequestMemory requestMemory =
+            new RequestMemory((long) MAX_CONNECTIONS * (MAX_BODY_BYTES + RequestDecoder.MAX_HEAD_BYTES));
     private final EventLoop acceptor;
     private final EventLoop loop;
     private final OperatorCommands commands;
@@ -95,6 +98,7 @@
                 .option(ChannelOption.SO_BACKLOG, 64)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new ReadBuffers(ReadBuffers.SMALL_BYTES))
                 .childHandler(pipeline())
                 .bind(address).syncUninterruptibly().channel().localAddress();
     }
@@ -104,7 +108,7 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                RequestDecoder decoder = new RequestDecoder();
+                RequestDecoder decoder = new RequestDecoder(requestMemory);
                 channel.pipeline().addLast(new RequestDeadline(REQUEST_TIMEOUT_MS), decoder,
                         new ResponseEncoder(decoder), new RequestAssembler(decoder, MAX_BODY_BYTES),
                         new RequestHandler());
--- a/src/main/java/starlingvalve/net/InterruptTolerantReads.java
+++ b/src/main/java/starlingvalve/net/ReadBuffers.java
@@ -9,11 +9,23 @@
 import java.nio.channels.ScatteringByteChannel;
 
 /**
- * Allocates read buffers for channels whose class can't be extended: a read that fails with a transient error counts as
- * a read of 0 bytes, as in {@link TcpChannel}.
+ * Allocates the read buffers of connections: on the heap, up to a size. Direct memory would be freed only by the garbage
+ * collector, which does not run because little of it is left. A read that fails with a transient error counts as a read
+ * of 0 bytes, as in {@link TcpChannel}.
  */
-final class InterruptTolerantReads implements RecvByteBufAllocator {
-    private final RecvByteBufAllocator sizes = new AdaptiveRecvByteBufAllocator();
+final class ReadBuffers implements RecvByteBufAllocator {
+    /** For connections on which many peers may send; one pass of the event loop reads up to 16 buffers of a connection. */
+    static final int SMALL_BYTES = 8 * 1024;
+    /** For the few connections on which long lists or states arrive. */
+    static final int LARGE_BYTES = 64 * 1024;
+    private static final int MIN_BYTES = 64;
+    private static final int INITIAL_BYTES = 2048;
+
+    private final RecvByteBufAllocator sizes;
+
+    ReadBuffers(int maxBytes) {
+        sizes = new AdaptiveRecvByteBufAllocator(MIN_BYTES, INITIAL_BYTES, maxBytes);
+    }
 
     @Override
     public Handle newHandle() {
--- a/src/main/java/starlingvalve/net/RequestAssembler.java
+++ b/src/main/java/starlingvalve/net/RequestAssembler.java
@@ -42,7 +42,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
         if (part.decoderResult().isFailure()) {
-            refuse(ctx, HttpResponseStatus.BAD_REQUEST, "not HTTP");
+            decoder.refuse(HttpResponseStatus.BAD_REQUEST, "not HTTP");
             return;
         }
         if (part instanceof HttpRequest request) {
@@ -56,9 +56,9 @@
     private void begin(ChannelHandlerContext ctx, HttpRequest request) {
         String expectation = expectation(request);
         if (!expectation.isEmpty() && !expectation.equalsIgnoreCase(CONTINUE)) {
-            refuse(ctx, HttpResponseStatus.EXPECTATION_FAILED, "unknown expectation");
+            decoder.refuse(HttpResponseStatus.EXPECTATION_FAILED, "unknown expectation");
         } else if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes) {
-            refuseLongBody(ctx);
+            refuseLongBody();
         } else {
             head = request;
             body = Unpooled.buffer(INITIAL_BODY_BYTES, maxBodyBytes);
@@ -77,7 +77,7 @@
 
     private void append(ChannelHandlerContext ctx, HttpContent content) {
         if (content.content().readableBytes() > body.maxWritableBytes()) {
-            refuseLongBody(ctx);
+            refuseLongBody();
             return;
         }
         body.writeBytes(content.content());
@@ -89,15 +89,16 @@
         }
     }
 
-    private void refuseLongBody(ChannelHandlerContext ctx) {
-        refuse(ctx, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over " + maxBodyBytes + " bytes");
+    private void refuseLongBody() {
+        decoder.refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over " + maxBodyBytes + " bytes");
     }
 
-    /** Ends the request unfinished, and drops all further input of the connection. */
-    private void refuse(ChannelHandlerContext ctx, HttpResponseStatus status, String reason) {
-        forgetRequest();
-        decoder.discardInput();
-        ctx.fireUserEventTriggered(new RequestRefused(status, reason));
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof RequestRefused) {
+            forgetRequest();
+        }
+        ctx.fireUserEventTriggered(event);
     }
 
     private void forgetRequest() {
--- a/src/main/java/starlingvalve/net/RequestDecoder.java
+++ b/src/main/java/starlingvalve/net/RequestDecoder.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 
@@ -18,7 +19,12 @@
  * <p>After {@link #discardInput} all input is dropped. This is for an answer that is given before its request has
  * arrived completely: what follows is the rest of that request, and none of it may be decoded as another one.
  */
-final class RequestDecoder extends HttpRequestDecoder {
+final class RequestDecoder extends HttpRequestDecoder implements RequestMemory.Holder {
+    private static final int MAX_FIRST_LINE_BYTES = 4096;
+    private static final int MAX_HEADERS_BYTES = 8192;
+    /** Longest head of a request. */
+    static final int MAX_HEAD_BYTES = MAX_FIRST_LINE_BYTES + MAX_HEADERS_BYTES;
+
     private enum State {
         /** Input is decoded. */
         DECODING,
@@ -28,15 +34,21 @@
         DISCARDING
     }
 
+    private final RequestMemory memory;
     private ChannelHandlerContext context;
     private State state = State.DECODING;
     private HttpMethod method = HttpMethod.GET;
+    /** Number of bytes received since the last complete request. */
+    private long receivedBytes;
     /** Whether this process reads no more requests. */
     private boolean stopped;
 
-    RequestDecoder() {
-        super(new HttpDecoderConfig().setHeadersFactory(new BoundedHeaders.Factory())
+    /** {@code memory} limits what this connection and others hold of incomplete requests. */
+    RequestDecoder(RequestMemory memory) {
+        super(new HttpDecoderConfig().setMaxInitialLineLength(MAX_FIRST_LINE_BYTES)
+                .setMaxHeaderSize(MAX_HEADERS_BYTES).setHeadersFactory(new BoundedHeaders.Factory())
                 .setTrailersFactory(new BoundedHeaders.Factory()));
+        this.memory = memory;
     }
 
     @Override
@@ -46,10 +58,18 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object input) throws Exception {
+        receivedBytes += ((ByteBuf) input).readableBytes();
         super.channelRead(ctx, input);
+        memory.update(this, receivedBytes);
         updateReading();
     }
 
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+        super.channelInactive(ctx);
+        memory.release(this);
+    }
+
     /** While input is held, the superclass must not ask for more, as it does after a read without a message. */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
@@ -64,21 +84,44 @@
     protected void decode(ChannelHandlerContext ctx, ByteBuf input, List<Object> out) throws Exception {
         if (state == State.DISCARDING) {
             input.skipBytes(input.readableBytes());
+            receivedBytes = 0;
         } else if (state == State.DECODING) {
             super.decode(ctx, input, out);
-            out.forEach(this::decoded);
+            out.forEach(part -> decoded(part, input.readableBytes()));
         }
     }
 
-    private void decoded(Object part) {
+    /** Called with each part of a request; {@code remainingBytes} of input follow it. */
+    private void decoded(Object part, int remainingBytes) {
         if (part instanceof HttpRequest request) {
             method = request.method();
         }
         if (part instanceof LastHttpContent) {
             state = State.HOLDING;
+            memory.release(this);
+            receivedBytes = remainingBytes;
         }
     }
 
+    @Override
+    public boolean isRefusable() {
+        return state == State.DECODING && context.channel().isActive();
+    }
+
+    @Override
+    public void refuseForMemory() {
+        refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many unfinished requests");
+    }
+
+    /**
+     * Ends the request that is being received: the handlers after this one get the event to answer it, and all further
+     * input is dropped.
+     */
+    void refuse(HttpResponseStatus status, String reason) {
+        discardInput();
+        context.fireUserEventTriggered(new RequestRefused(status, reason));
+    }
+
     /** Called when the answer to the last request is written: decodes the next request. */
     void requestAnswered() {
         if (state != State.HOLDING) {
@@ -104,6 +147,8 @@
     void discardInput() {
         state = State.DISCARDING;
         internalBuffer().skipBytes(actualReadableBytes());
+        receivedBytes = 0;
+        memory.release(this);
         updateReading();
     }
 
--- a/src/main/java/starlingvalve/net/Sender.java
+++ b/src/main/java/starlingvalve/net/Sender.java
@@ -232,7 +232,8 @@
         endpoints = new Endpoints(loop, config.dialTimeoutMs(), config.settings().keepAliveMs(),
                 config.settings().senders(), budget.idleEndpoints(), new EndpointCallbacks());
         notices = new NoticeClient(loop, new AgentConnection(loop, discoveryAddress), this::noticeAcknowledged);
-        submissionServer = new SubmissionServer(acceptor, loop, budget.clients(), new ClientCallbacks());
+        submissionServer = new SubmissionServer(acceptor, loop, budget.clients(), RequestMemory.forHeap(),
+                new ClientCallbacks());
         ops = new OperatorServer(acceptor, loop, new OperatorCallbacks());
         handover = new Handover(acceptor, loop, new HandoverCallbacks());
         takeover = new Takeover(loop, config.state(), config.handover(), startRetry, new TakeoverCallbacks());
--- a/src/main/java/starlingvalve/net/SubmissionServer.java
+++ b/src/main/java/starlingvalve/net/SubmissionServer.java
@@ -142,7 +142,10 @@
          */
         void submit(Submission submission, Consumer<Verdict> callback);
 
-        /** Called when a request is answered with a client error; nothing of it was accepted. */
+        /**
+         * Called when a request is answered with a client error, or refused before it was complete; nothing of it was
+         * accepted.
+         */
         default void rejected(HttpResponseStatus status, String reason) {
         }
 
@@ -189,6 +192,7 @@
     private final SubmissionReader submissionReader;
     private final int maxClients;
     private final ClientAdmission admission;
+    private final RequestMemory requestMemory;
     /** Connections between requests, the one that is idle longest first. */
     private final Set<Channel> idle = new LinkedHashSet<>();
     private final ServerBootstrap bootstrap;
@@ -203,12 +207,19 @@
 
     /** For tests: accepts connections on the event loop that also serves them. */
     SubmissionServer(EventLoop loop, int maxClients, SubmissionHandler handler) {
-        this(loop, loop, maxClients, handler);
+        this(loop, loop, maxClients, RequestMemory.forHeap(), handler);
+    }
+
+    /** For tests: with another limit on the bytes of incomplete requests. */
+    SubmissionServer(EventLoop loop, int maxClients, RequestMemory requestMemory, SubmissionHandler handler) {
+        this(loop, loop, maxClients, requestMemory, handler);
     }
 
     /** {@code acceptor} accepts connections and does nothing else; {@code loop} serves them. */
-    SubmissionServer(EventLoop acceptor, EventLoop loop, int maxClients, SubmissionHandler handler) {
+    SubmissionServer(EventLoop acceptor, EventLoop loop, int maxClients, RequestMemory requestMemory,
+            SubmissionHandler handler) {
         this.loop = loop;
+        this.requestMemory = requestMemory;
         this.handler = handler;
         this.submissionReader = new SubmissionReader(handler);
         this.maxClients = maxClients;
@@ -219,6 +230,7 @@
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new ReadBuffers(ReadBuffers.SMALL_BYTES))
                 .childHandler(pipeline());
     }
 
@@ -227,7 +239,7 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                RequestDecoder decoder = new RequestDecoder();
+                RequestDecoder decoder = new RequestDecoder(requestMemory);
                 channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_S), new ClientRequestDeadline(),
                         decoder, new ResponseEncoder(decoder), new RequestAssembler(decoder, MAX_BODY_BYTES),
                         new ClientHandler(decoder));
@@ -477,7 +489,9 @@
 
         private void respond(ChannelHandlerContext ctx, FullHttpRequest request, HttpResponseStatus status,
                 String text) {
-            reportIfRejected(status, text);
+            if (status.codeClass() == HttpStatusClass.CLIENT_ERROR) {
+                handler.rejected(status, text);
+            }
             respond(ctx, !HttpUtil.isKeepAlive(request), response(status, text));
         }
 
@@ -513,17 +527,12 @@
             lastResponseSent = true;
             ctx.pipeline().get(ClientRequestDeadline.class).requestComplete();
             removeIdle(ctx.channel());
-            reportIfRejected(refusal.status(), refusal.reason());
+            handler.rejected(refusal.status(), refusal.reason());
             FullHttpResponse response = response(refusal.status(), refusal.reason());
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             LingeringClose.after(ctx.writeAndFlush(response));
         }
 
-        private void reportIfRejected(HttpResponseStatus status, String reason) {
-            if (status.codeClass() == HttpStatusClass.CLIENT_ERROR) {
-                handler.rejected(status, reason);
-            }
-        }
 
         @Override
         public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
--- a/src/main/java/starlingvalve/net/Takeover.java
+++ b/src/main/java/starlingvalve/net/Takeover.java
@@ -164,7 +164,7 @@
         }
         HandoverConnection[] created = new HandoverConnection[1];
         ChannelFuture connecting = new Bootstrap().group(loop).channel(NioDomainSocketChannel.class)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new InterruptTolerantReads())
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new ReadBuffers(ReadBuffers.LARGE_BYTES))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/src/test/java/starlingvalve/net/SenderProcess.java
+++ b/src/test/java/starlingvalve/net/SenderProcess.java
@@ -25,6 +25,7 @@
     private final Path folder;
     private final String logPrefix;
     private final Map<String, String> environment = new HashMap<>();
+    private final List<String> jvmArguments = new ArrayList<>();
     private int descriptorLimit;
     private int runNumber;
     private Process process;
@@ -62,6 +63,12 @@
         return this;
     }
 
+    /** Uses the JVM options with which the sender is deployed, for processes that are started from now on. */
+    SenderProcess withDeployedOptions() {
+        jvmArguments.add("@deploy/java.options");
+        return this;
+    }
+
     /** Returns the folder of the state that a restarted process reads again. */
     Path stateFolder() {
         return folder.resolve("state");
@@ -74,8 +81,9 @@
         if (descriptorLimit > 0) {
             command.addAll(List.of("bash", "-c", "ulimit -n " + descriptorLimit + "; exec \"$@\"", "bash"));
         }
-        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin/java").toString(),
-                "-cp", System.getProperty("java.class.path"), "starlingvalve.Main", "serve"));
+        command.add(Path.of(System.getProperty("java.home"), "bin/java").toString());
+        command.addAll(jvmArguments);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "starlingvalve.Main", "serve"));
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().putAll(environment);
         process = builder.redirectErrorStream(true).redirectOutput(logFile().toFile()).start();
--- a/src/test/java/starlingvalve/net/SubmissionServerFixture.java
+++ b/src/test/java/starlingvalve/net/SubmissionServerFixture.java
@@ -32,7 +32,7 @@
     static final int SOCKET_BUFFER_BYTES = 8 * 1024;
     static final int MAX_CLIENTS = 200;
 
-    final RecordingSubmissionHandler handler = createHandler();
+    final RecordingSubmissionHandler handler = new RecordingSubmissionHandler();
     /** The server's side of all connections, in the order of accepting. */
     final List<Channel> accepted = new CopyOnWriteArrayList<>();
     /** Largest number of bytes that the server held of answers that were not written to a socket. */
@@ -43,15 +43,15 @@
     private EventLoopGroup group;
     private InetSocketAddress address;
 
-    RecordingSubmissionHandler createHandler() {
-        return new RecordingSubmissionHandler();
+    SubmissionServer createServer() {
+        return new SubmissionServer(loop, MAX_CLIENTS, handler);
     }
 
     @BeforeEach
     void listen() {
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = group.next();
-        server = new SubmissionServer(loop, MAX_CLIENTS, handler);
+        server = createServer();
         address = (InetSocketAddress) new ServerBootstrap().group(loop)
                 .channelFactory(() -> new TcpListener(TcpListener.Admission.ALL))
                 .childOption(ChannelOption.SO_SNDBUF, SOCKET_BUFFER_BYTES)
