Bound what the platform's agent can make a sender hold: answers, values and entries

Nobody has seen it; a full heap ends the process.

Change: RequestMemory becomes InputMemory, for answers as well; those on all agent connections together take at most a sixth of the heap, above that the oldest unfinished one counts as unanswered. At most 16 reads are kept apart. An answer to a notice has 64 KiB at most, the protocol's limit of a body. An answer of discovery has 20 JSON tokens for each of 8,192 entries at most (18 are the protocol's), the list has 8,192 entries, and of an entry only the protocol's fields of up to 256 characters are kept. Heads of answers have 100 headers at most. The share of clients is an eighth of the heap, so that all shares fit.

Seen to fail with the limits taken out: AgentConnectionTest.oldestUnfinishedAnswerIsGivenUpWhenAllTogetherHoldTooMuch, and in EndpointListTest answerWithTooManyValuesIsNotRead, changesThatMakeTheListTooLongAreNotApplied and onlyTheProtocolsFieldsAreKeptAndOnlyShort.

--- a/src/main/java/starlingvalve/net/AgentConnection.java
+++ b/src/main/java/starlingvalve/net/AgentConnection.java
@@ -1,6 +1,7 @@
 package starlingvalve.net;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
@@ -12,7 +13,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
@@ -34,12 +34,18 @@
 final class AgentConnection implements Discovery.Source {
     /** Connect time-out, included in a request's time limit. The kernel repeats a lost SYN only after 1 s. */
     static final int CONNECT_MS = 500;
-    private static final int MAX_RESPONSE_BYTES = 4 << 20;
+    /**
+     * Reads of an answer that are kept as they are; with a further one all are copied into one buffer, so that little
+     * input never keeps many read buffers.
+     */
+    private static final int MAX_KEPT_READS = 16;
     private static final String CODEC = "codec";
     private static final String AGGREGATOR = "aggregator";
     private static final String RESPONSE_HANDLER = "response";
 
     private final EventLoop loop;
+    private final int maxAnswerBytes;
+    private final InputMemory memory;
     private final EventLog events = EventLog.shared();
     private InetSocketAddress address;
     private final Bootstrap bootstrap;
@@ -51,35 +57,69 @@
     private boolean failedLocally;
 
     /** A request that ends with an answer or without one. */
-    private final class Request {
+    private final class Request implements InputMemory.Holder {
         private final Consumer<Optional<FullHttpResponse>> callback;
         private Future<?> timer;
         /** Whether the request is assigned to the current connection, whose end therefore ends the request too. */
         private boolean sent;
         /** Whether the last byte of the request is written, so that an answer may arrive. */
         private boolean flushed;
+        private long answerBytes;
 
         Request(Consumer<Optional<FullHttpResponse>> callback) {
             this.callback = callback;
         }
 
+        /** Counts received bytes of the answer, which may end this request or another one as unanswered. */
+        void received(int bytes) {
+            answerBytes += bytes;
+            memory.update(this, answerBytes);
+        }
+
+        @Override
+        public boolean canBeGivenUp() {
+            return current == this;
+        }
+
+        @Override
+        public void giveUp() {
+            Log.line("an answer of the agent is given up, as all together hold too much memory");
+            fail(this);
+        }
+
         /** Passes the result to the callback, at most once; later results are ignored. */
         void complete(Optional<FullHttpResponse> answer) {
             if (current == this) {
                 current = null;
+                memory.release(this);
                 timer.cancel(false);
                 callback.accept(answer);
             }
         }
     }
 
+    /** For tests: with a limit of its own, for lists. */
     AgentConnection(EventLoop loop, InetSocketAddress address) {
         this(loop, address, UnreadInputChannel::new);
     }
 
     /** For tests, which provide their own channels. */
     AgentConnection(EventLoop loop, InetSocketAddress address, ChannelFactory<UnreadInputChannel> channels) {
+        this(loop, address, channels, EndpointList.MAX_ANSWER_BYTES,
+                InputMemory.ofHeap(InputMemory.LISTS_HEAP_DIVISOR));
+    }
+
+    /**
+     * Creates the connection, which is opened with the first request.
+     *
+     * @param maxAnswerBytes length of the longest answer that is read; a longer one closes the connection
+     * @param memory limits what this connection and others hold of answers
+     */
+    AgentConnection(EventLoop loop, InetSocketAddress address, ChannelFactory<UnreadInputChannel> channels,
+            int maxAnswerBytes, InputMemory memory) {
         this.loop = loop;
+        this.maxAnswerBytes = maxAnswerBytes;
+        this.memory = memory;
         this.address = address;
         this.bootstrap = new Bootstrap().group(loop).channelFactory(channels)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -155,8 +195,10 @@
     /** Sends the request with a new codec, so that the codec keeps no bytes from one answer to the next. */
     private void send(Request pending, FullHttpRequest request) {
         pending.sent = true;
-        channel.pipeline().addBefore(RESPONSE_HANDLER, CODEC, new HttpClientCodec());
-        channel.pipeline().addBefore(RESPONSE_HANDLER, AGGREGATOR, new HttpObjectAggregator(MAX_RESPONSE_BYTES));
+        HttpObjectAggregator aggregator = new HttpObjectAggregator(maxAnswerBytes);
+        aggregator.setMaxCumulationBufferComponents(MAX_KEPT_READS);
+        channel.pipeline().addBefore(RESPONSE_HANDLER, CODEC, BoundedHeaders.clientCodec());
+        channel.pipeline().addBefore(RESPONSE_HANDLER, AGGREGATOR, aggregator);
         channel.writeAndFlush(request).addListener(written -> pending.flushed = written.isSuccess());
     }
 
@@ -205,6 +247,7 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object input) {
             if (awaitsAnswer(ctx.channel())) {
+                current.received(((ByteBuf) input).readableBytes());
                 ctx.fireChannelRead(input);
             } else {
                 logSurplus("unasked", quietPeriod.elapsedMs());
--- a/src/main/java/starlingvalve/net/EndpointList.java
+++ b/src/main/java/starlingvalve/net/EndpointList.java
@@ -1,8 +1,11 @@
 package starlingvalve.net;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.ByteBufInputStream;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -33,6 +36,22 @@
     private static final String GENERATION = "generation";
     private static final String INSTANCES = "instances";
     private static final String RESET = "reset";
+    private static final String ADDRESS = "hostPort";
+    private static final String ZONE = "zone";
+    private static final String KIND = "machineType";
+    private static final String DESTINATION = "cell";
+    private static final String WEIGHT = "weight";
+    /** The fields of an entry that are kept. */
+    private static final Set<String> FIELDS = Set.of(ID, ADDRESS, ZONE, KIND, DESTINATION, LIFECYCLE, WEIGHT,
+            "startedAtMs");
+    /** Most endpoints in the list; the largest fleets have 3,200. */
+    static final int MAX_ENTRIES = 8192;
+    /** Longest answer that is read: 512 bytes for each endpoint. */
+    static final int MAX_ANSWER_BYTES = MAX_ENTRIES * 512;
+    /** Most JSON tokens of an answer: an entry has 18 with the protocol's fields. */
+    private static final int MAX_TOKENS = MAX_ENTRIES * 20;
+    /** Longest text of a field that is kept. */
+    private static final int MAX_TEXT_LENGTH = 256;
     /** The version before discovery has answered, and after an unusable answer. */
     private static final long UNKNOWN = -1;
 
@@ -103,7 +122,8 @@
 
     private final Listener listener;
     private final EventLog events;
-    private final ObjectMapper json = JsonMapper.builder().build();
+    private final ObjectMapper json = JsonMapper.builder(JsonFactory.builder()
+            .streamReadConstraints(StreamReadConstraints.builder().maxTokenCount(MAX_TOKENS).build()).build()).build();
     private final Map<String, JsonNode> entries = new LinkedHashMap<>();
     private long generation = UNKNOWN;
     private long queryCount;
@@ -178,7 +198,7 @@
     private Result apply(Query query, FullHttpResponse answer) {
         try (InputStream in = new ByteBufInputStream(answer.content())) {
             return apply(query, json.readTree(in));
-        } catch (IOException | RuntimeException e) {
+        } catch (IOException | InvalidInputException | RuntimeException e) {
             // Whatever the fault, the caller must return and send the next request, as nothing else would.
             Log.line("discovery's answer can't be used: " + e.getMessage());
             forgetGeneration();
@@ -186,7 +206,7 @@
         }
     }
 
-    private Result apply(Query query, JsonNode update) {
+    private Result apply(Query query, JsonNode update) throws InvalidInputException {
         boolean full = query.isFull() || update.path(RESET).asBoolean();
         long answeredGeneration = update.path(GENERATION).asLong(UNKNOWN);
         boolean wellFormed = update.path(GENERATION).isIntegralNumber() && update.path(INSTANCES).isArray();
@@ -198,12 +218,42 @@
         if (isOutdated(query, answeredGeneration, full)) {
             return Result.UNCHANGED;
         }
+        requireRoom(update, full);
         generation = answeredGeneration;
         lastAppliedQuery = Math.max(lastAppliedQuery, query.number());
         apply(update, full, Source.DISCOVERY);
         return full || !update.path(INSTANCES).isEmpty() ? Result.CHANGED : Result.UNCHANGED;
     }
 
+    /** Checks that the list stays within its limits, however many answers change it. */
+    private void requireRoom(JsonNode update, boolean full) throws InvalidInputException {
+        int size = full ? 0 : entries.size();
+        for (JsonNode entry : update.path(INSTANCES)) {
+            size += full || !entries.containsKey(entry.path(ID).asText()) ? 1 : 0;
+            for (String field : FIELDS) {
+                if (entry.path(field).asText().length() > MAX_TEXT_LENGTH) {
+                    throw new InvalidInputException(field + " has over " + MAX_TEXT_LENGTH + " characters");
+                }
+            }
+        }
+        if (size > MAX_ENTRIES) {
+            throw new InvalidInputException("the list has over " + MAX_ENTRIES + " endpoints");
+        }
+    }
+
+    /** Whether the value of a field that is kept is a plain one. */
+    private static boolean isKept(Map.Entry<String, JsonNode> field) {
+        return FIELDS.contains(field.getKey()) && field.getValue().isValueNode();
+    }
+
+    /** Returns an entry without the fields that are not kept. */
+    private static JsonNode withKeptFields(JsonNode received) {
+        ObjectNode entry = JsonNodeFactory.instance.objectNode();
+        received.properties().stream().filter(EndpointList::isKept)
+                .forEach(field -> entry.set(field.getKey(), field.getValue()));
+        return entry;
+    }
+
     /**
      * Whether a newer answer was applied before. The versions of a full list may have restarted, so a lower version
      * alone does not make a full list older.
@@ -218,7 +268,8 @@
             entries.clear();
         }
         List<JsonNode> applied = new ArrayList<>();
-        for (JsonNode received : update.path(INSTANCES)) {
+        for (JsonNode instance : update.path(INSTANCES)) {
+            JsonNode received = withKeptFields(instance);
             String id = received.path(ID).asText();
             JsonNode previous = previousEntries.get(id);
             JsonNode entry = previous == null || full ? received : merged(received, previous);
@@ -243,9 +294,6 @@
 
     /** Adds to a changed entry the fields that it omits because they have not changed. */
     private static JsonNode merged(JsonNode received, JsonNode previous) {
-        if (!received.isObject() || !previous.isObject()) {
-            return received;
-        }
         ObjectNode entry = previous.deepCopy();
         entry.setAll((ObjectNode) received);
         return entry;
@@ -275,9 +323,9 @@
 
     private static Entry read(JsonNode entry) throws InvalidInputException {
         boolean serving = lifecycle(entry).equals(SERVING);
-        return new Entry(entry.path(ID).asText(), address(entry, serving), entry.path("zone").asText(),
-                entry.path("machineType").asText(), entry.path("cell").asLong(), serving,
-                lifecycle(entry).equals(DELETED), entry.path("weight").asDouble());
+        return new Entry(entry.path(ID).asText(), address(entry, serving), entry.path(ZONE).asText(),
+                entry.path(KIND).asText(), entry.path(DESTINATION).asLong(), serving,
+                lifecycle(entry).equals(DELETED), entry.path(WEIGHT).asDouble());
     }
 
     /**
@@ -288,7 +336,7 @@
      */
     private static InetSocketAddress address(JsonNode entry, boolean needed) throws InvalidInputException {
         try {
-            return Config.address(entry.path("hostPort").asText());
+            return Config.address(entry.path(ADDRESS).asText());
         } catch (InvalidInputException invalid) {
             if (needed) {
                 throw invalid;
--- a/src/main/java/starlingvalve/net/NoticeClient.java
+++ b/src/main/java/starlingvalve/net/NoticeClient.java
@@ -30,6 +30,8 @@
 final class NoticeClient {
     /** Maximum body of one request, below the protocol's 64 KiB; a single notice always fits. */
     private static final int MAX_BODY_BYTES = 32 * 1024;
+    /** Longest answer that is read; the protocol's limit for a body. */
+    static final int MAX_ANSWER_BYTES = 64 * 1024;
     /** Time limit of a request. The platform answers at once, so no answer is to be expected after this time. */
     private static final long REQUEST_LIMIT_MS = 500;
     /** Pause before a request is repeated. */
--- a/src/main/java/starlingvalve/net/OperatorServer.java
+++ b/src/main/java/starlingvalve/net/OperatorServer.java
@@ -71,8 +71,8 @@
     }
 
     /** Never exceeded: each connection holds a head and a body at most. */
-    private final RequestMemory requestMemory =
-            new RequestMemory((long) MAX_CONNECTIONS * (MAX_BODY_BYTES + RequestDecoder.MAX_HEAD_BYTES));
+    private final InputMemory inputMemory =
+            new InputMemory((long) MAX_CONNECTIONS * (MAX_BODY_BYTES + RequestDecoder.MAX_HEAD_BYTES));
     private final EventLoop acceptor;
     private final EventLoop loop;
     private final OperatorCommands commands;
@@ -108,7 +108,7 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                RequestDecoder decoder = new RequestDecoder(requestMemory);
+                RequestDecoder decoder = new RequestDecoder(inputMemory);
                 channel.pipeline().addLast(new RequestDeadline(REQUEST_TIMEOUT_MS), decoder,
                         new ResponseEncoder(decoder), new RequestAssembler(decoder, MAX_BODY_BYTES),
                         new RequestHandler());
--- a/src/main/java/starlingvalve/net/RequestDecoder.java
+++ b/src/main/java/starlingvalve/net/RequestDecoder.java
@@ -19,7 +19,7 @@
  * <p>After {@link #discardInput} all input is dropped. This is for an answer that is given before its request has
  * arrived completely: what follows is the rest of that request, and none of it may be decoded as another one.
  */
-final class RequestDecoder extends HttpRequestDecoder implements RequestMemory.Holder {
+final class RequestDecoder extends HttpRequestDecoder implements InputMemory.Holder {
     private static final int MAX_FIRST_LINE_BYTES = 4096;
     private static final int MAX_HEADERS_BYTES = 8192;
     /** Longest head of a request. */
@@ -34,7 +34,7 @@
         DISCARDING
     }
 
-    private final RequestMemory memory;
+    private final InputMemory memory;
     private ChannelHandlerContext context;
     private State state = State.DECODING;
     private HttpMethod method = HttpMethod.GET;
@@ -44,7 +44,7 @@
     private boolean stopped;
 
     /** {@code memory} limits what this connection and others hold of incomplete requests. */
-    RequestDecoder(RequestMemory memory) {
+    RequestDecoder(InputMemory memory) {
         super(new HttpDecoderConfig().setMaxInitialLineLength(MAX_FIRST_LINE_BYTES)
                 .setMaxHeaderSize(MAX_HEADERS_BYTES).setHeadersFactory(new BoundedHeaders.Factory())
                 .setTrailersFactory(new BoundedHeaders.Factory()));
@@ -103,13 +103,14 @@
         }
     }
 
+    /** Whether a request is being received, and no earlier one waits for its answer. */
     @Override
-    public boolean isRefusable() {
+    public boolean canBeGivenUp() {
         return state == State.DECODING && context.channel().isActive();
     }
 
     @Override
-    public void refuseForMemory() {
+    public void giveUp() {
         refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many unfinished requests");
     }
 
--- a/src/main/java/starlingvalve/net/Sender.java
+++ b/src/main/java/starlingvalve/net/Sender.java
@@ -231,25 +231,31 @@
         Log.line(budget + "; " + openAtStart + " were open at the start");
         endpoints = new Endpoints(loop, config.dialTimeoutMs(), config.settings().keepAliveMs(),
                 config.settings().senders(), budget.idleEndpoints(), new EndpointCallbacks());
-        notices = new NoticeClient(loop, new AgentConnection(loop, discoveryAddress), this::noticeAcknowledged);
-        submissionServer = new SubmissionServer(acceptor, loop, budget.clients(), RequestMemory.forHeap(),
-                new ClientCallbacks());
+        InputMemory answerMemory = InputMemory.ofHeap(InputMemory.LISTS_HEAP_DIVISOR);
+        notices = new NoticeClient(loop, agentConnection(NoticeClient.MAX_ANSWER_BYTES, answerMemory),
+                this::noticeAcknowledged);
+        submissionServer = new SubmissionServer(acceptor, loop, budget.clients(),
+                InputMemory.ofHeap(InputMemory.REQUESTS_HEAP_DIVISOR), new ClientCallbacks());
         ops = new OperatorServer(acceptor, loop, new OperatorCallbacks());
         handover = new Handover(acceptor, loop, new HandoverCallbacks());
         takeover = new Takeover(loop, config.state(), config.handover(), startRetry, new TakeoverCallbacks());
         EndpointList list = new EndpointList(this::endpointListChanged, events);
         List<Discovery.Source> checks = new ArrayList<>();
         for (int i = 0; i < ListLease.MAX_CHECKS; i++) {
-            checks.add(new AgentConnection(loop, discoveryAddress));
+            checks.add(agentConnection(EndpointList.MAX_ANSWER_BYTES, answerMemory));
         }
         listLease = new ListLease(loop, System::nanoTime, config.listLease(), list, checks);
-        discovery = new Discovery(loop, new AgentConnection(loop, discoveryAddress), new Random(config.seed()), list,
-                listLease);
+        discovery = new Discovery(loop, agentConnection(EndpointList.MAX_ANSWER_BYTES, answerMemory),
+                new Random(config.seed()), list, listLease);
         discovery.start(config.knownList());
         listLease.start();
         new LoopMonitor(loop, events).start();
     }
 
+    private AgentConnection agentConnection(int maxAnswerBytes, InputMemory answerMemory) {
+        return new AgentConnection(loop, discoveryAddress, UnreadInputChannel::new, maxAnswerBytes, answerMemory);
+    }
+
     /**
      * Makes this process the owner of the journal. Processing of its messages continues, with the state that the
      * predecessor passed on, if any.
--- a/src/main/java/starlingvalve/net/SubmissionServer.java
+++ b/src/main/java/starlingvalve/net/SubmissionServer.java
@@ -192,7 +192,7 @@
     private final SubmissionReader submissionReader;
     private final int maxClients;
     private final ClientAdmission admission;
-    private final RequestMemory requestMemory;
+    private final InputMemory inputMemory;
     /** Connections between requests, the one that is idle longest first. */
     private final Set<Channel> idle = new LinkedHashSet<>();
     private final ServerBootstrap bootstrap;
@@ -207,19 +207,19 @@
 
     /** For tests: accepts connections on the event loop that also serves them. */
     SubmissionServer(EventLoop loop, int maxClients, SubmissionHandler handler) {
-        this(loop, loop, maxClients, RequestMemory.forHeap(), handler);
+        this(loop, loop, maxClients, InputMemory.ofHeap(InputMemory.REQUESTS_HEAP_DIVISOR), handler);
     }
 
     /** For tests: with another limit on the bytes of incomplete requests. */
-    SubmissionServer(EventLoop loop, int maxClients, RequestMemory requestMemory, SubmissionHandler handler) {
-        this(loop, loop, maxClients, requestMemory, handler);
+    SubmissionServer(EventLoop loop, int maxClients, InputMemory inputMemory, SubmissionHandler handler) {
+        this(loop, loop, maxClients, inputMemory, handler);
     }
 
     /** {@code acceptor} accepts connections and does nothing else; {@code loop} serves them. */
-    SubmissionServer(EventLoop acceptor, EventLoop loop, int maxClients, RequestMemory requestMemory,
+    SubmissionServer(EventLoop acceptor, EventLoop loop, int maxClients, InputMemory inputMemory,
             SubmissionHandler handler) {
         this.loop = loop;
-        this.requestMemory = requestMemory;
+        this.inputMemory = inputMemory;
         this.handler = handler;
         this.submissionReader = new SubmissionReader(handler);
         this.maxClients = maxClients;
@@ -239,7 +239,7 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                RequestDecoder decoder = new RequestDecoder(requestMemory);
+                RequestDecoder decoder = new RequestDecoder(inputMemory);
                 channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_S), new ClientRequestDeadline(),
                         decoder, new ResponseEncoder(decoder), new RequestAssembler(decoder, MAX_BODY_BYTES),
                         new ClientHandler(decoder));
--- a/src/test/java/starlingvalve/net/AgentConnectionTest.java
+++ b/src/test/java/starlingvalve/net/AgentConnectionTest.java
@@ -342,4 +342,34 @@
         loop.execute(() -> agent.sendRequest(request(), limitMs, response -> answered.complete(response.isPresent())));
         return answered.get(30, TimeUnit.SECONDS);
     }
+
+    /** Guards against a full heap: each answer had a limit, and those of all connections together had none. */
+    @Test
+    void oldestUnfinishedAnswerIsGivenUpWhenAllTogetherHoldTooMuch() throws Exception {
+        int partBytes = 60_000;
+        InputMemory memory = new InputMemory(2 * partBytes);
+        StubServer.Script unfinished = (request, socket) -> StubServer.write(socket,
+                "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + "x".repeat(partBytes));
+        try (StubServer stub = new StubServer(unfinished)) {
+            List<CompletableFuture<Boolean>> answered = new ArrayList<>();
+            for (int i = 1; i <= 2; i++) {
+                answered.add(sendRequest(stub, memory));
+                long heldBytes = (long) i * partBytes;
+                if (i == 1) {
+                    StubServer.await("a part of the answer is read",
+                            () -> loop.submit(memory::totalBytes).syncUninterruptibly().getNow() >= heldBytes);
+                }
+            }
+            assertFalse(answered.get(0).get(30, TimeUnit.SECONDS));
+            assertFalse(answered.get(1).isDone());
+        }
+    }
+
+    private CompletableFuture<Boolean> sendRequest(StubServer stub, InputMemory memory) {
+        CompletableFuture<Boolean> answered = new CompletableFuture<>();
+        loop.execute(() -> new AgentConnection(loop, stub.address(), UnreadInputChannel::new,
+                EndpointList.MAX_ANSWER_BYTES, memory)
+                .sendRequest(request(), 60_000, answer -> answered.complete(answer.isPresent())));
+        return answered;
+    }
 }
--- a/src/test/java/starlingvalve/net/EndpointListTest.java
+++ b/src/test/java/starlingvalve/net/EndpointListTest.java
@@ -1,6 +1,7 @@
 package starlingvalve.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.Unpooled;
@@ -13,6 +14,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import starlingvalve.net.EndpointList.Query;
 import starlingvalve.net.EndpointList.Result;
@@ -143,4 +145,58 @@
         list.notifyListener();
         assertEquals(Map.of("s", "serving"), lifecycles);
     }
+
+    /** Guards against a full heap: a list that changes bring together had no limit. */
+    @Test
+    void changesThatMakeTheListTooLongAreNotApplied() {
+        applyFullList(1);
+        int generation = 1;
+        int answerEntries = 4096;
+        for (int first = 0; first < EndpointList.MAX_ENTRIES - answerEntries; first += answerEntries) {
+            assertEquals(Result.CHANGED, list.apply(list.query(), additions(++generation, first, answerEntries)));
+        }
+        int heldEntries = lifecycles.size();
+        assertEquals(Result.UNUSABLE,
+                list.apply(list.query(), additions(++generation, EndpointList.MAX_ENTRIES, answerEntries)));
+        assertEquals(heldEntries, lifecycles.size());
+        assertTrue(list.query().isFull());
+    }
+
+    private static Optional<FullHttpResponse> additions(int generation, int first, int count) {
+        return answer(generation, false, IntStream.range(first, first + count)
+                .mapToObj(number -> entry("added-" + number, "SERVING")).toArray(String[]::new));
+    }
+
+    /** Guards against a full heap: a JSON tree takes up many times the bytes of short values. */
+    @Test
+    void answerWithTooManyValuesIsNotRead() {
+        applyFullList(1);
+        assertEquals(Result.UNUSABLE, list.apply(list.query(), body("{\"generation\":2,\"reset\":true,\"instances\":["
+                + "{},".repeat(EndpointList.MAX_ANSWER_BYTES / 4) + "{}]}")));
+        assertEquals(Map.of("s", "serving"), lifecycles);
+    }
+
+    /** Guards against a full heap: what an entry has besides the protocol's fields was kept with the list. */
+    @Test
+    void onlyTheProtocolsFieldsAreKeptAndOnlyShort() {
+        String entry = entry("s", "SERVING").replace("}", ",\"notes\":\"" + "x".repeat(1000) + "\"}");
+        assertEquals(Result.CHANGED, list.apply(list.query(), answer(1, true, entry)));
+        assertFalse(list.toJson().toString().contains("notes"), "kept");
+        assertEquals(Result.UNUSABLE,
+                list.apply(list.query(), answer(2, true, entry("s".repeat(1000), "SERVING"))));
+        assertEquals(Map.of("s", "serving"), lifecycles);
+    }
+
+    /** The largest fleets have 3,200 endpoints, and lists may come indented. */
+    @Test
+    void listOfTheLargestFleetIsApplied() {
+        String entry = "{\n    \"instanceId\": \"s-%08d\",\n    \"hostPort\": \"10.100.100.18:17070\",\n    "
+                + "\"zone\": \"hall-a\",\n    \"machineType\": \"machine-type\",\n    \"cell\": 333,\n    "
+                + "\"lifecycle\": \"SERVING\",\n    \"weight\": 1.0,\n    \"startedAtMs\": 1796400000000\n  }\n";
+        Optional<FullHttpResponse> answer = answer(1, true, IntStream.range(0, 3200)
+                .mapToObj(number -> String.format(entry, number)).toArray(String[]::new));
+        assertTrue(answer.orElseThrow().content().readableBytes() < EndpointList.MAX_ANSWER_BYTES);
+        assertEquals(Result.CHANGED, list.apply(list.query(), answer));
+        assertEquals(3200, lifecycles.size());
+    }
 }
--- a/src/test/java/starlingvalve/net/RequestMemoryTest.java
+++ b/src/test/java/starlingvalve/net/InputMemoryTest.java
@@ -11,13 +11,13 @@
 import org.junit.jupiter.api.Test;
 
 /** Tests what the server holds of the incomplete requests of all clients together. */
-class RequestMemoryTest extends SubmissionServerFixture {
+class InputMemoryTest extends SubmissionServerFixture {
     private static final int BODY_BYTES = 50_000;
     private static final int FIRST_PART_BYTES = 30_000;
     /** Room for the first parts of three requests, but not of four. */
     private static final int MAX_BYTES = 100_000;
 
-    private final RequestMemory memory = new RequestMemory(MAX_BYTES);
+    private final InputMemory memory = new InputMemory(MAX_BYTES);
 
     @Override
     SubmissionServer createServer() {
