Bound what answers of all endpoints together hold while they are read

Change: InputMemory limits the bodies that are being read to a sixteenth of the heap; above that the oldest one's connection is closed (ANSWERS_TOO_LONG) and its calls may have run. Heads have 100 headers at most, as elsewhere.

Seen to fail with the limit taken out: EndpointsTest.oldestUnfinishedAnswerIsGivenUpWhenAllTogetherHoldTooMuch.

--- a/src/main/java/starlingvalve/net/Endpoints.java
+++ b/src/main/java/starlingvalve/net/Endpoints.java
@@ -14,7 +14,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
@@ -144,6 +143,8 @@
         STRAY_INPUT,
         /** The answer can't be parsed, is too long, or is no proof of an outcome. */
         UNREADABLE_ANSWER,
+        /** The answers of all endpoints that are being read take too much memory. */
+        ANSWERS_TOO_LONG,
         /** No call waits for its answer any more. */
         NOT_AWAITED,
         /** The request could not be written. */
@@ -156,6 +157,8 @@
     private final LongSupplier nanos;
     private final Callbacks callbacks;
     private final InputBarrier inputBarrier;
+    /** Limits the bodies of all answers that are being read. */
+    private final InputMemory answerMemory;
     private final Bootstrap bootstrap;
     private final long maxIdleNanos;
     /**
@@ -191,7 +194,15 @@
     /** Creates the pool with a given channel factory, for tests. */
     Endpoints(EventLoop loop, LongSupplier nanos, ChannelFactory<UnreadInputChannel> channels, double dialTimeoutMs,
             double keepAliveMs, int senders, int maxIdleConnections, Callbacks callbacks) {
+        this(loop, nanos, channels, dialTimeoutMs, keepAliveMs, senders, maxIdleConnections,
+                InputMemory.ofHeap(InputMemory.ENDPOINT_ANSWERS_HEAP_DIVISOR), callbacks);
+    }
+
+    /** Creates the pool with a given limit on the bodies of all answers that are being read, for tests. */
+    Endpoints(EventLoop loop, LongSupplier nanos, ChannelFactory<UnreadInputChannel> channels, double dialTimeoutMs,
+            double keepAliveMs, int senders, int maxIdleConnections, InputMemory answerMemory, Callbacks callbacks) {
         this.loop = loop;
+        this.answerMemory = answerMemory;
         this.nanos = nanos;
         this.callbacks = callbacks;
         this.inputBarrier = new InputBarrier(loop, System::nanoTime);
@@ -475,7 +486,7 @@
     }
 
     /** One request and its answer, shared by one or more calls. */
-    private final class Exchange {
+    private final class Exchange implements InputMemory.Holder {
         private final Peer peer;
         private final List<Call> calls = new ArrayList<>();
         private final ResponseScanner scanner = new ResponseScanner();
@@ -634,6 +645,7 @@
 
         /** The connection has closed: the answer counts if it is complete, otherwise all calls end as interrupted. */
         private void connectionLost() {
+            answerMemory.release(this);
             if (complete) {
                 conclude();
             } else {
@@ -718,10 +730,22 @@
             boolean fits = part.readableBytes() <= body.maxWritableBytes();
             if (fits && calls.size() > 1) {
                 body.writeBytes(part);
+                answerMemory.update(this, body.readableBytes());
             }
             return fits || calls.size() == 1;
         }
 
+        @Override
+        public boolean canBeGivenUp() {
+            return !complete;
+        }
+
+        /** Closes the connection, so that nothing is known of the outcome of its calls. */
+        @Override
+        public void giveUp() {
+            close(CloseReason.ANSWERS_TOO_LONG);
+        }
+
         /** Whether exactly one answer was read, and completely; bytes that follow it are ignored here. */
         private boolean isReadWhole() {
             return complete && delimited && !corrupted && scanner.isSingleAnswer(surplus.statusLines())
@@ -749,6 +773,7 @@
 
         /** Ends all calls by the complete answer, which also counts for the messages of abandoned calls. */
         private void conclude() {
+            answerMemory.release(this);
             boolean isBatchReport = status == HttpResponseStatus.OK.code() && calls.size() > 1;
             calls.forEach(call -> call.timer.cancel(false));
             BatchAnswer answer = new BatchAnswer(body.toString(StandardCharsets.ISO_8859_1));
@@ -830,7 +855,7 @@
             exchange = next;
             exchanges++;
             interim = false;
-            channel.pipeline().addBefore(HANDLER_NAME, CODEC_NAME, new HttpClientCodec());
+            channel.pipeline().addBefore(HANDLER_NAME, CODEC_NAME, BoundedHeaders.clientCodec());
         }
 
         /** Handles raw input: scans the bytes of an answer and passes them to the codec; other bytes are surplus. */
--- a/src/test/java/starlingvalve/net/EndpointsTest.java
+++ b/src/test/java/starlingvalve/net/EndpointsTest.java
@@ -352,6 +352,23 @@
         }));
     }
 
+    /** Guards against a full heap: each answer had a limit, and those of all endpoints together had none. */
+    @Test
+    void oldestUnfinishedAnswerIsGivenUpWhenAllTogetherHoldTooMuch() throws Exception {
+        int partBytes = 40_000;
+        endpoints = new Endpoints(loop, System::nanoTime, UnreadInputChannel::new, 1000, 15_000, SENDERS, 4,
+                new InputMemory(partBytes + partBytes / 2), callbacks);
+        updateEndpoint(stub.address());
+        stub.script((request, socket) -> StubServer.write(socket,
+                "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + "x".repeat(partBytes)));
+        startTogether(6);
+        End broken = new End(Outcome.BROKEN, false, 0);
+        for (int i = 0; i < 3; i++) {
+            assertEquals(broken, end());
+        }
+        assertTrue(ends.isEmpty(), "the newer answer is given up too: " + ends);
+    }
+
     @Test
     void callWithheldOnceConnectedIsNotSent() throws Exception {
         withholdOnceConnected("id-1", 3);
