Stop the time limit of a request while an earlier one awaits its answer

Cause, a fault of: a request that arrives while the one before it awaits its verdict is held undecoded, but its time limit ran from its first byte. With a verdict later than 2 s, as in a handover, the connection was closed with both requests read and unanswered; one that is read and closed with no answer is lost. Found by reading, not seen.

Change: the time limit starts only while a request can be decoded.

Seen to fail before: SubmissionServerTest.requestTimeoutDoesNotRunWhileAnEarlierRequestAwaitsItsVerdict.

--- a/src/main/java/starlingvalve/net/OperatorServer.java
+++ b/src/main/java/starlingvalve/net/OperatorServer.java
@@ -109,7 +109,7 @@
             @Override
             protected void initChannel(Channel channel) {
                 RequestDecoder decoder = new RequestDecoder(inputMemory);
-                channel.pipeline().addLast(new RequestDeadline(REQUEST_TIMEOUT_MS), decoder,
+                channel.pipeline().addLast(new RequestDeadline(REQUEST_TIMEOUT_MS, decoder), decoder,
                         new ResponseEncoder(decoder), new RequestAssembler(decoder, MAX_BODY_BYTES),
                         new RequestHandler());
             }
--- a/src/main/java/starlingvalve/net/RequestDeadline.java
+++ b/src/main/java/starlingvalve/net/RequestDeadline.java
@@ -7,14 +7,18 @@
 
 /**
  * Closes a connection whose request does not arrive completely in time, as the client is silent, slow or stops halfway.
- * The time runs from the start of the connection, and for later requests from the first byte of each.
+ * The time runs from the start of the connection, and for later requests from the first byte of each, or from when the
+ * request before it is answered.
  */
 class RequestDeadline extends ChannelInboundHandlerAdapter {
     private final long limitMs;
+    private final RequestDecoder decoder;
     private Future<?> timer;
 
-    RequestDeadline(long limitMs) {
+    /** {@code decoder} decodes the requests of the connection. */
+    RequestDeadline(long limitMs, RequestDecoder decoder) {
         this.limitMs = limitMs;
+        this.decoder = decoder;
     }
 
     /** Called for each read with bytes of a request. */
@@ -35,7 +39,9 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object bytes) {
-        startTimer(ctx);
+        if (!decoder.isHolding()) {
+            startTimer(ctx);
+        }
         bytesReceived(ctx);
         ctx.fireChannelRead(bytes);
     }
--- a/src/main/java/starlingvalve/net/RequestDecoder.java
+++ b/src/main/java/starlingvalve/net/RequestDecoder.java
@@ -166,6 +166,11 @@
         }
     }
 
+    /** Whether a request awaits its answer, so that no further one is decoded. */
+    boolean isHolding() {
+        return state == State.HOLDING;
+    }
+
     /** Whether input follows the last complete request. */
     boolean hasHeldInput() {
         return actualReadableBytes() > 0;
--- a/src/main/java/starlingvalve/net/SubmissionServer.java
+++ b/src/main/java/starlingvalve/net/SubmissionServer.java
@@ -240,9 +240,9 @@
             @Override
             protected void initChannel(Channel channel) {
                 RequestDecoder decoder = new RequestDecoder(inputMemory);
-                channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_S), new ClientRequestDeadline(),
-                        decoder, new ResponseEncoder(decoder), new RequestAssembler(decoder, MAX_BODY_BYTES),
-                        new ClientHandler(decoder));
+                channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_S),
+                        new ClientRequestDeadline(decoder), decoder, new ResponseEncoder(decoder),
+                        new RequestAssembler(decoder, MAX_BODY_BYTES), new ClientHandler(decoder));
             }
         };
     }
@@ -387,8 +387,8 @@
 
     /** Limits the time for a request to arrive; a connection is not idle once bytes of a request are received. */
     private final class ClientRequestDeadline extends RequestDeadline {
-        ClientRequestDeadline() {
-            super(REQUEST_TIMEOUT_MS);
+        ClientRequestDeadline(RequestDecoder decoder) {
+            super(REQUEST_TIMEOUT_MS, decoder);
         }
 
         @Override
--- a/src/test/java/starlingvalve/net/SubmissionServerTest.java
+++ b/src/test/java/starlingvalve/net/SubmissionServerTest.java
@@ -255,6 +255,22 @@
         assertTrue(client.isOpen());
     }
 
+    /** Guards against a request that is closed unanswered since the time of a waiting one behind it is up. */
+    @Test
+    void requestTimeoutDoesNotRunWhileAnEarlierRequestAwaitsItsVerdict() {
+        DelayedVerdictHandler delayed = new DelayedVerdictHandler();
+        EmbeddedChannel client = client(new SubmissionServer(new DefaultEventLoop(), 1, delayed));
+        send(client, request("one", 0));
+        send(client, request("two", 0));
+        advanceTime(client, 5000);
+        assertTrue(client.isOpen(), "closed without an answer");
+        delayed.callbacks.get(0).accept(SubmissionServer.Verdict.refused("not now"));
+        client.runPendingTasks();
+        assertEquals(2, delayed.callbacks.size());
+        advanceTime(client, 5000);
+        assertTrue(client.isOpen(), "closed without an answer");
+    }
+
     /** Guards against a request that was read and is closed unanswered: its connection is not between requests. */
     @Test
     void connectionWithWaitingRequestIsNotClosedForNewOne() {
