Bound the submissions that wait for the verdict of an upgrade's new process

Clients give up after 0.4 s and submit again, so nothing bounded them.

Change: ForwardedSubmissions counts their bytes; above 2 MiB a submission is refused with 503.

Seen to fail with the limit taken out: HandoverRecoveryTest.submissionsBeyondALimitAreRefusedWhileSuccessorDecidesOnNone (no submission was answered within 30 s).

--- a/src/main/java/starlingvalve/net/BoundedHeaders.java
+++ b/src/main/java/starlingvalve/net/BoundedHeaders.java
@@ -8,8 +8,8 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 
 /**
- * The headers of a received request or answer. Their number is limited, as each takes up many times the bytes of a short header
- * line.
+ * The headers of a received request or answer. Their number is limited, as each takes up many times the bytes of a
+ * short header line.
  */
 final class BoundedHeaders extends DefaultHttpHeaders {
     /** Most headers of a message; the protocol has about ten. */
--- a/src/main/java/starlingvalve/net/ReadBuffers.java
+++ b/src/main/java/starlingvalve/net/ReadBuffers.java
@@ -9,12 +9,12 @@
 import java.nio.channels.ScatteringByteChannel;
 
 /**
- * Allocates the read buffers of connections: on the heap, up to a size. Direct memory would be freed only by the garbage
- * collector, which does not run because little of it is left. A read that fails with a transient error counts as a read
- * of 0 bytes, as in {@link TcpChannel}.
+ * Allocates the read buffers of connections: on the heap, up to a size. Direct memory would be freed only by the
+ * garbage collector, which does not run because little of it is left. A read that fails with a transient error counts
+ * as a read of 0 bytes, as in {@link TcpChannel}.
  */
 final class ReadBuffers implements RecvByteBufAllocator {
-    /** For connections on which many peers may send; one pass of the event loop reads up to 16 buffers of a connection. */
+    /** For connections on which many peers may send; a pass of the event loop reads up to 16 buffers of each. */
     static final int SMALL_BYTES = 8 * 1024;
     /** For the few connections on which long lists or states arrive. */
     static final int LARGE_BYTES = 64 * 1024;
--- a/src/main/java/starlingvalve/net/Sender.java
+++ b/src/main/java/starlingvalve/net/Sender.java
@@ -114,6 +114,7 @@
     private double turnTimeMs;
     private boolean shuttingDown;
     private Handover handover;
+    private final ForwardedSubmissions forwardedSubmissions = new ForwardedSubmissions();
     private Takeover takeover;
     private final PredecessorCalls predecessorCalls = new PredecessorCalls();
     private final UnattemptedMessages unattempted = new UnattemptedMessages();
@@ -963,14 +964,25 @@
 
         @Override
         public void submit(SubmissionServer.Submission submission, Consumer<SubmissionServer.Verdict> callback) {
-            if (handover.isForwarding()) {
-                ObjectNode line = HandoverConnection.line("submit");
-                line.set("submission", HandoverConnection.JSON.valueToTree(submission));
-                handover.forwardRequest(line, reply -> callback.accept(verdict(reply)),
-                        () -> submit(submission, callback));
-                return;
+            if (!handover.isForwarding()) {
+                callback.accept(Sender.this.admit(submission));
+            } else if (forwardedSubmissions.add(submission)) {
+                forward(submission, callback);
+            } else {
+                callback.accept(rejection(submission, "the successor does not decide", 0));
             }
-            callback.accept(Sender.this.admit(submission));
+        }
+
+        private void forward(SubmissionServer.Submission submission, Consumer<SubmissionServer.Verdict> callback) {
+            ObjectNode line = HandoverConnection.line("submit");
+            line.set("submission", HandoverConnection.JSON.valueToTree(submission));
+            handover.forwardRequest(line, reply -> {
+                forwardedSubmissions.remove(submission);
+                callback.accept(verdict(reply));
+            }, () -> {
+                forwardedSubmissions.remove(submission);
+                submit(submission, callback);
+            });
         }
 
         /** Returns the successor's verdict; a successor that has ended has not accepted the message. */
--- a/src/test/java/starlingvalve/net/HandoverRecoveryTest.java
+++ b/src/test/java/starlingvalve/net/HandoverRecoveryTest.java
@@ -4,13 +4,17 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
 import java.net.UnixDomainSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -53,6 +57,41 @@
         StubServer.await("the sender accepts messages again", this::acceptsMessages);
     }
 
+    /**
+     * Guards against a full heap: while a successor that owns nothing yet decides on nothing, clients give up and submit
+     * again, and each submission was kept.
+     */
+    @Test
+    void submissionsBeyondALimitAreRefusedWhileSuccessorDecidesOnNone() throws Exception {
+        start();
+        String body = "x".repeat(60_000);
+        int excess = 5;
+        int fitting = (int) (ForwardedSubmissions.MAX_BYTES / body.length());
+        try (SocketChannel connection = requestHandover()) {
+            List<Socket> submitters = new ArrayList<>();
+            for (int i = 0; i < fitting + excess; i++) {
+                submitters.add(client());
+                StubServer.write(submitters.get(i), message("m" + i, "plain", body));
+            }
+            StubServer.await("the excess submissions are refused",
+                    () -> submitters.stream().filter(HandoverRecoveryTest::isAnswered).count() >= excess);
+            for (Socket answered : submitters.stream().filter(HandoverRecoveryTest::isAnswered).toList()) {
+                InputStream answers = new BufferedInputStream(answered.getInputStream());
+                assertEquals("HTTP/1.1 503 Service Unavailable", StubServer.read(answers, 0).line());
+            }
+            assertTrue(connection.isOpen());
+        }
+        StubServer.await("the sender accepts messages again", this::acceptsMessages);
+    }
+
+    private static boolean isAnswered(Socket submitter) {
+        try {
+            return submitter.getInputStream().available() > 0;
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     private boolean isOwned(Path state) {
         try {
             Optional<StateLock> lock = StateLock.tryAcquire(state);
--- a/src/test/java/starlingvalve/net/UnreadAnswersTest.java
+++ b/src/test/java/starlingvalve/net/UnreadAnswersTest.java
@@ -31,7 +31,8 @@
     }
 
     private Channel awaitUnwrittenAnswer() throws InterruptedException {
-        StubServer.await("an answer can't be written", () -> !accepted.isEmpty() && unwrittenBytes(accepted.get(0)) > 0);
+        StubServer.await("an answer can't be written",
+                () -> !accepted.isEmpty() && unwrittenBytes(accepted.get(0)) > 0);
         return accepted.get(0);
     }
 
