Drop the last answer of a connection that has closed, without a fault

Cause, a fault of: LingeringClose looked for the decoder in the pipeline, whose handlers are gone once the connection has closed. A verdict after that, as in a handover, ended in a NullPointerException. Found by reading.

Change: the decoder is passed.

Seen to fail before: SubmissionServerTest.lastAnswerOfClosedConnectionIsDropped.

--- a/src/main/java/starlingvalve/net/LingeringClose.java
+++ b/src/main/java/starlingvalve/net/LingeringClose.java
@@ -21,18 +21,18 @@
     /**
      * Closes the connection behind an answer to a complete request: at once if no input follows that request.
      */
-    static void afterCompleteRequest(ChannelFuture answerWritten) {
-        if (answerWritten.channel().pipeline().get(RequestDecoder.class).hasHeldInput()) {
-            after(answerWritten);
+    static void afterCompleteRequest(RequestDecoder decoder, ChannelFuture answerWritten) {
+        if (decoder.hasHeldInput()) {
+            after(decoder, answerWritten);
         } else {
             answerWritten.addListener(ChannelFutureListener.CLOSE);
         }
     }
 
     /** Drops all further input, and closes the connection once the answer is written and the peer has closed. */
-    static void after(ChannelFuture answerWritten) {
+    static void after(RequestDecoder decoder, ChannelFuture answerWritten) {
         Channel channel = answerWritten.channel();
-        channel.pipeline().get(RequestDecoder.class).discardInput();
+        decoder.discardInput();
         answerWritten.addListener(written -> {
             if (channel instanceof DuplexChannel duplex) {
                 duplex.shutdownOutput();
--- a/src/main/java/starlingvalve/net/OperatorServer.java
+++ b/src/main/java/starlingvalve/net/OperatorServer.java
@@ -111,13 +111,19 @@
                 RequestDecoder decoder = new RequestDecoder(inputMemory);
                 channel.pipeline().addLast(new RequestDeadline(REQUEST_TIMEOUT_MS, decoder), decoder,
                         new ResponseEncoder(decoder), new RequestAssembler(decoder, MAX_BODY_BYTES),
-                        new RequestHandler());
+                        new RequestHandler(decoder));
             }
         };
     }
 
     /** Answers the first request of a connection, and closes it; no further request is decoded. */
     private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final RequestDecoder decoder;
+
+        RequestHandler(RequestDecoder decoder) {
+            this.decoder = decoder;
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             connections.add(ctx.channel());
@@ -136,14 +142,14 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             ctx.pipeline().get(RequestDeadline.class).requestComplete();
-            execute(request, answer -> LingeringClose.afterCompleteRequest(write(ctx, answer)));
+            execute(request, answer -> LingeringClose.afterCompleteRequest(decoder, write(ctx, answer)));
         }
 
         @Override
         public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
             if (event instanceof RequestRefused refusal) {
                 ctx.pipeline().get(RequestDeadline.class).requestComplete();
-                LingeringClose.after(write(ctx, Answer.error(refusal.status(), refusal.reason())));
+                LingeringClose.after(decoder, write(ctx, Answer.error(refusal.status(), refusal.reason())));
             }
         }
 
--- a/src/main/java/starlingvalve/net/SubmissionServer.java
+++ b/src/main/java/starlingvalve/net/SubmissionServer.java
@@ -513,7 +513,7 @@
             ChannelFuture written = ctx.writeAndFlush(response, promise);
             AnswerTimeout.start(written, () -> close(ctx.channel(), CloseReason.ANSWER_NOT_READ));
             if (lastResponse) {
-                LingeringClose.afterCompleteRequest(written);
+                LingeringClose.afterCompleteRequest(decoder, written);
             } else {
                 written.addListener(sent -> decoder.requestAnswered());
             }
@@ -530,7 +530,7 @@
             handler.rejected(refusal.status(), refusal.reason());
             FullHttpResponse response = response(refusal.status(), refusal.reason());
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            LingeringClose.after(ctx.writeAndFlush(response));
+            LingeringClose.after(decoder, ctx.writeAndFlush(response));
         }
 
 
--- a/src/test/java/starlingvalve/net/SubmissionServerTest.java
+++ b/src/test/java/starlingvalve/net/SubmissionServerTest.java
@@ -156,6 +156,20 @@
         assertTrue(newest.isOpen());
     }
 
+    /** Guards against a fault in the verdict's callback: the handlers of a closed connection are gone. */
+    @Test
+    void lastAnswerOfClosedConnectionIsDropped() {
+        DelayedVerdictHandler delayed = new DelayedVerdictHandler();
+        SubmissionServer server = new SubmissionServer(new DefaultEventLoop(), 1, delayed);
+        EmbeddedChannel gone = client(server);
+        send(gone, request("one", 0).replace("Host: x", "Host: x\r\nConnection: close"));
+        gone.close();
+        gone.runPendingTasks();
+        delayed.callbacks.get(0).accept(SubmissionServer.Verdict.refused("late"));
+        gone.checkException();
+        assertEquals(0, server.clients());
+    }
+
     /** Keeps the callbacks, so that a test can pass verdicts later. */
     private static final class DelayedVerdictHandler extends RecordingSubmissionHandler {
         final List<Consumer<SubmissionServer.Verdict>> callbacks = new ArrayList<>();
