--- a/src/main/java/starlingvalve/net/OperatorServer.java
+++ b/src/main/java/starlingvalve/net/OperatorServer.java
@@ -70,7 +70,7 @@
         void drain(boolean on, Consumer<Answer> callback);
     }
 
-    /** Never exceeded: each connection holds a head and a body at most. */
+    /** Has room for a head and a body of each connection. */
     private final InputMemory inputMemory =
             new InputMemory((long) MAX_CONNECTIONS * (MAX_BODY_BYTES + RequestDecoder.MAX_HEAD_BYTES));
     private final EventLoop acceptor;
