Cut off long values in lines of the event log

Nobody has seen it.

Change: a value has 1,024 characters at most.

Seen to fail before: EventLogTest.longValuesAreCutOff.

--- a/src/main/java/starlingvalve/net/EventLog.java
+++ b/src/main/java/starlingvalve/net/EventLog.java
@@ -24,6 +24,8 @@
     static final int MAX_BURST = 500;
     /** Largest number of lines per second in the long run. */
     static final int LINES_PER_SECOND = 100;
+    /** Longest value of a field; a longer one is cut off. */
+    static final int MAX_VALUE_LENGTH = 1024;
     private static final int QUEUE_LENGTH = 1024;
     /** Time for which lines are collected for one write; a kill of the process may lose these lines. */
     private static final long COLLECT_MS = 10;
@@ -102,9 +104,10 @@
         return line.append('\n').toString();
     }
 
-    /** Quotes a value that is not one plain word, and replaces its special characters: a peer may have sent it. */
+    /** Cuts off a long value, quotes one that is not a plain word, and replaces its special characters: a peer may have sent it. */
     private static String value(Object value) {
-        String text = String.valueOf(value);
+        String full = String.valueOf(value);
+        String text = full.substring(0, Math.min(full.length(), MAX_VALUE_LENGTH));
         return text.chars().allMatch(c -> c > ' ' && c != '"' && c < 127) && !text.isEmpty() ? text
                 : '"' + text.replaceAll("[^ -~]", "?").replace('"', '\'') + '"';
     }
--- a/src/test/java/starlingvalve/net/EventLogTest.java
+++ b/src/test/java/starlingvalve/net/EventLogTest.java
@@ -35,6 +35,14 @@
         assertEquals(List.of("event=refused id=\"a?b'c?\" reason=\"\""), lines());
     }
 
+    /** Guards against a full heap: lines that wait for a blocked standard error hold what peers have sent. */
+    @Test
+    void longValuesAreCutOff() {
+        log.add("refused", "id", "x".repeat(8000), "reason", "no room");
+        assertEquals(List.of("event=refused id=" + "x".repeat(EventLog.MAX_VALUE_LENGTH) + " reason=\"no room\""),
+                lines());
+    }
+
     @Test
     void linesAboveRateLimitAreDroppedAndTheirNumberIsLogged() {
         for (int i = 0; i < EventLog.MAX_BURST + 7; i++) {
