--- a/src/main/java/starlingvalve/net/EventLog.java
+++ b/src/main/java/starlingvalve/net/EventLog.java
@@ -104,7 +104,10 @@
         return line.append('\n').toString();
     }
 
-    /** Cuts off a long value, quotes one that is not a plain word, and replaces its special characters: a peer may have sent it. */
+    /**
+     * Cuts off a long value, quotes one that is not a plain word, and replaces its special characters: a peer may have
+     * sent it.
+     */
     private static String value(Object value) {
         String full = String.valueOf(value);
         String text = full.substring(0, Math.min(full.length(), MAX_VALUE_LENGTH));
--- a/src/test/java/starlingvalve/net/HandoverRecoveryTest.java
+++ b/src/test/java/starlingvalve/net/HandoverRecoveryTest.java
@@ -58,8 +58,8 @@
     }
 
     /**
-     * Guards against a full heap: while a successor that owns nothing yet decides on nothing, clients give up and submit
-     * again, and each submission was kept.
+     * Guards against a full heap: while a successor that owns nothing yet decides on nothing, clients give up and
+     * submit again, and each submission was kept.
      */
     @Test
     void submissionsBeyondALimitAreRefusedWhileSuccessorDecidesOnNone() throws Exception {
