UpgradeTest: wait until the old process listens no more before asking the new one

Traced by its log: the successor listened at 21.278, the old process began to close its listener at 21.282, the drain was ended at 21.285, and the connection that followed reached the old process, which stays drained.

The test is as strict: the same answers are asked for, once only the successor listens.

--- a/src/test/java/starlingvalve/net/UpgradeTest.java
+++ b/src/test/java/starlingvalve/net/UpgradeTest.java
@@ -3,17 +3,23 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.BufferedInputStream;
+import java.io.IOException;
 import java.net.Socket;
 import java.net.UnixDomainSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** A successor process takes over from a sender that still serves. */
 class UpgradeTest extends SenderFixture {
+    /** The state of a listening socket in the kernel's table. */
+    private static final String LISTEN_STATE = "0A";
+
     /** Starts a successor beside the running sender, and returns the latter. */
     private Sender upgrade() throws Exception {
         Sender predecessor = sender;
@@ -105,6 +111,8 @@
         assertEquals("200 ok\n", operatorRequest("POST", "/healthcheck/fail"));
         Sender predecessor = upgrade();
         try {
+            // Until then a new connection may reach the predecessor, which stays drained.
+            StubServer.await("only the successor listens", () -> listeners(address.getPort()) == 1);
             assertEquals("503", healthStatus());
             assertEquals("200 ok\n", operatorRequest("POST", "/healthcheck/ok"));
             assertEquals("200", healthStatus());
@@ -112,4 +120,19 @@
             predecessor.kill();
         }
     }
+
+    /** Number of sockets that listen at a port, by the kernel's table of IPv4 and IPv6 sockets. */
+    private static long listeners(int port) {
+        return Stream.of("/proc/net/tcp", "/proc/net/tcp6").flatMap(UpgradeTest::lines).map(line -> line.split("\\s+"))
+                .filter(fields -> fields[2].endsWith(String.format(":%04X", port)) && fields[4].equals(LISTEN_STATE))
+                .count();
+    }
+
+    private static Stream<String> lines(String file) {
+        try {
+            return Files.readAllLines(Path.of(file)).stream();
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
 }
