--- a/review/stand-ins-2/Case7.java
+++ b/review/stand-ins-2/Case7.java
@@ -37,8 +37,9 @@
         double[] slow = {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY};
         Endpoint.Behaviour school = call -> {
             boolean isSlow = call.at >= slow[0] && call.at < slow[1];
-            Rig.note("call of %d: %s%s", call.messages.size(), call.messages.stream().map(Endpoint.Arrival::id).toList(),
-                    isSlow ? " slow" : "");
+            if (isSlow) {
+                Rig.note("slow: %s", call.messages.stream().map(Endpoint.Arrival::id).toList());
+            }
             return call.work(isSlow ? SLOW_MS : USUAL_MS) ? Endpoint.accepted(call) : null;
         };
         for (int i = 1; i <= 2; i++) {
--- a/review/stand-ins-2/Endpoint.java
+++ b/review/stand-ins-2/Endpoint.java
@@ -91,9 +91,12 @@
             }
             ARRIVALS.addAll(call.messages);
             CALLS.add(call);
+            List<String> ids = call.messages.stream().map(Arrival::id).toList();
+            Rig.note("endpoint %s: call of %.1f with %s", id, at, ids);
             byte[] answer = behaviour.answer(call);
             if (answer == null) {
                 call.endedAt = Math.min(call.endedAt, Rig.now());
+                Rig.note("endpoint %s: the sender has ended its call of %.1f", id, at);
                 return;
             }
             try {
@@ -101,6 +104,8 @@
             } finally {
                 call.endedAt = Math.min(call.endedAt, Rig.now());
             }
+            Rig.note("endpoint %s: call of %.1f answered: %s", id, at,
+                    new String(answer, StandardCharsets.ISO_8859_1).trim().replaceAll("\\s+", " "));
         }
     }
 
--- a/review/stand-ins-2/Rig.java
+++ b/review/stand-ins-2/Rig.java
@@ -448,6 +448,8 @@
             }
             message.status = answer == null ? 0 : answer.status();
             message.answeredAt = now();
+            note("client: %s to destination %d, %d ms, sent at %.1f, answer %s", message.id, message.dest,
+                    message.budgetMs, message.sentAt, message.status == 0 ? "none" : message.status);
             return answer;
         }
 
