--- a/review/stand-ins-2/Case6.java
+++ b/review/stand-ins-2/Case6.java
@@ -83,7 +83,7 @@
             successor = new Rig.SenderProcess("new", env);
             // It has read its configuration once its operators' address answers; it says no until it is ready.
             int answer = 0;
-            while (answer == 0 && Rig.now() < begin + 9000) {
+            while (answer == 0 && Rig.now() < begin + 12_000) {
                 Thread.sleep(20);
                 answer = Rig.get(secondOps, "/healthcheck", 500);
             }
@@ -104,12 +104,12 @@
             Rig.note("discovery is at %s now, no more at %s", current.address(), agent.address());
         }
         if (upgrade) {
-            double limit = begin + 9000;
+            double limit = begin + 15_000;
             while (Rig.get(secondOps, "/healthcheck", 500) != 200 && Rig.now() < limit) {
                 Thread.sleep(20);
             }
             if (Rig.now() >= limit) {
-                Rig.cannotRun("the new process was not ready within 6 s");
+                Rig.cannotRun("the new process was not ready 15 s after the first message");
             }
             Rig.note("the new process says yes");
             old.signal("TERM");
