A message is not sent again while a call that it has left is in flight

Cause: mayRepeat asked for attempts that had not ended, which leaves out a call that only other messages wait for.

Delivery.callsInFlight is the one answer; the order of keys and the new mayOverlap, which every send asks, use it. The message waits for the call's end, its deadline or its window.

--- a/src/main/java/starlingvalve/DeliveryScheduler.java
+++ b/src/main/java/starlingvalve/DeliveryScheduler.java
@@ -91,13 +91,8 @@
     private static final double DEMAND_SHARE = 0.7; // of the demand, trusted where nothing is refused
     private static final double MIN_RATE_PERIOD_MS = 2000; // a shorter observed time counts as this
 
-    // Connections.
     /** The longest back-off after a refused connection doubles with each in a row, up to this many times. */
     private static final int CONNECT_DOUBLINGS = 5;
-    private static final double CONNECTION_IDLE_MS = 100; // unused for this long, it counts as idle
-    /** Share of a lost connection's idle time beyond which others are not trusted, and for how long. */
-    private static final double TRUSTED_IDLE_SHARE = 0.25;
-    private static final double LOSS_MEMORY_MS = 30_000;
 
     // The queue.
     /** A message ranks by the worth it loses until its destination's queue clears, or over this minimum. */
@@ -120,7 +115,7 @@
     private final RecentEvents firstSends = new RecentEvents(() -> clock, THROTTLE_PERIOD_MS);
     private final Throttle hedgeThrottle;
     private final Throttle retryThrottle;
-    private final IdleConnectionTrust idleConnections = new IdleConnectionTrust();
+    private final IdleConnectionTrust idleConnections;
     private final KeyOrder keyOrder;
     private final Timers timers;
     private int slotsUsed;
@@ -134,6 +129,7 @@
         this.hedgeThrottle = newThrottle(HEDGE_BASE, HEDGE_SHARE);
         this.retryThrottle = newThrottle(RETRY_BASE, RETRY_SHARE);
         this.random = new Random(seed);
+        this.idleConnections = new IdleConnectionTrust(settings.keepAliveMs(), () -> clock);
         this.keyOrder = new KeyOrder(settings.keyQuarantineMs(), () -> clock, timers);
     }
 
@@ -371,6 +367,7 @@
         Delivery delivery = deliveries.get(message);
         return delivery != null && !delivery.ended && delivery.attempts.get(attempt).endpoint
                 .filter(e -> e.isInService() && e.limiter.retryAfterUntil <= clock
+                        && mayOverlap(delivery, delivery.attempts.get(attempt))
                         && mayRepeat(delivery, e, delivery.attempts.get(attempt))).isPresent();
     }
 
@@ -512,19 +509,28 @@
     private boolean maySend(Delivery delivery, EndpointState endpoint) {
         return !delivery.ended && endpoint.canTakeCall() && clock < delivery.deadline - ANSWER_MARGIN_MS
                 && delivery.attempts.size() < settings.maxAttempts()
+                && mayOverlap(delivery, null)
                 && mayRepeat(delivery, endpoint, null)
                 && keyOrder.allows(delivery)
                 && (!delivery.lastRefused || delivery.attemptsInFlight > 0 || retryThrottle.allows())
                 && clock + endpoint.expectedCallMs(delivery.type) <= callsEndBy;
     }
 
-    /** Whether the attempt (null: the next one) at the endpoint (null: any) can't cause a second effect. */
+    /** Whether the attempt (null: the next one) is no second copy, or second copies are allowed. */
+    private boolean mayOverlap(Delivery delivery, Attempt attempt) {
+        return settings.hedging() || !delivery.hasOtherCallInFlight(attempt);
+    }
+
+    /**
+     * Whether the attempt (null: the next one) at the endpoint (null: any) can't cause a second effect, once
+     * {@link #mayOverlap} allows it.
+     */
     private boolean mayRepeat(Delivery delivery, EndpointState endpoint, Attempt attempt) {
         for (Attempt earlier : delivery.attempts) {
             if (earlier == attempt || !earlier.inFlight && !earlier.mayHaveRun) {
                 continue;
             }
-            if (earlier.inFlight && !settings.hedging() || delivery.type.effect() == Effect.UNSAFE) {
+            if (delivery.type.effect() == Effect.UNSAFE) {
                 return false;
             }
             if (delivery.type.effect() == Effect.KEYED
@@ -698,6 +704,15 @@
             return attemptsInFlight + openCalls;
         }
 
+        /**
+         * Whether a call that carries the message is in flight, apart from that of the attempt (null: of
+         * none). Includes calls that only other messages still wait for: the endpoint may work on this one.
+         */
+        boolean hasOtherCallInFlight(Attempt attempt) {
+            int own = attempt != null && attempt.inFlight ? 1 : 0;
+            return callsInFlight() > own;
+        }
+
         boolean isInFlightAt(EndpointState endpoint) {
             return attempts.stream()
                     .anyMatch(a -> a.inFlight && a.endpoint.filter(e -> e == endpoint).isPresent());
@@ -762,7 +777,7 @@
     }
 
     /** One request: its messages share a slot and the outcome that counts for the endpoint's health. */
-    private final class Call {
+    private final class Call implements IdleConnectionTrust.Call {
         final EndpointState endpoint;
         final double sentAt;
         final long sentTurn;
@@ -773,7 +788,8 @@
         boolean overdue;
 
         Call(EndpointState endpoint) {
-            this(endpoint, clock, turn, idleConnections.idleMsForCall(endpoint));
+            this(endpoint, clock, turn, idleConnections.idleMsForCall(
+                    endpoint.idleMs(), () -> actions.closeIdle(endpoint.entry.id())));
             endpoint.lastUsedAt = clock;
         }
 
@@ -787,6 +803,21 @@
             endpoint.destination.callsInFlight++;
         }
 
+        @Override
+        public double idleMs() {
+            return idleMs;
+        }
+
+        @Override
+        public boolean isOverdue() {
+            return overdue;
+        }
+
+        @Override
+        public long destination() {
+            return endpoint.entry.destination();
+        }
+
         void attemptEnded(AttemptEnd end) {
             endpoint.limiter.applyRetryAfter(end.retryAfterMs());
             if (!observed && end.outcome() != Outcome.CANCELLED && end.outcome() != Outcome.NOT_SENT) {
@@ -1081,6 +1112,11 @@
             limiter.restore(snapshot.limit(), takenAt);
         }
 
+        /** How long the connection that the next call uses has been idle, at most; 0 if it is new. */
+        double idleMs() {
+            return callsInFlight > 0 ? 0 : clock - lastUsedAt;
+        }
+
         /** Listed as serving and not in maintenance, whatever its health. */
         boolean isInService() {
             return serving && !inMaintenance;
@@ -1278,46 +1314,4 @@
             }
         }
     }
-
-    /**
-     * How long a connection may be idle and still be used. Guards against connections that are dropped
-     * silently: after losses on idle ones at two destinations, connections that were idle nearly as long are
-     * closed before the next call, whatever drops them, until a connection idle for as long delivers a call.
-     */
-    private final class IdleConnectionTrust {
-        private Optional<Call> suspect = Optional.empty(); // lost call with the shortest idle time
-        private double lastLossAt = Double.NEGATIVE_INFINITY;
-        private boolean confirmed;
-
-        /** Idle time of the connection that a new call uses: 0 if it is new, or not idle. */
-        double idleMsForCall(EndpointState endpoint) {
-            double idleMs = endpoint.callsInFlight > 0 ? 0 : clock - endpoint.lastUsedAt;
-            if (clock > lastLossAt + LOSS_MEMORY_MS) {
-                suspect = Optional.empty();
-                confirmed = false;
-            }
-            if (idleMs < CONNECTION_IDLE_MS || idleMs >= settings.keepAliveMs()) {
-                return 0;
-            }
-            if (confirmed && suspect.filter(s -> idleMs > s.idleMs * TRUSTED_IDLE_SHARE).isPresent()) {
-                actions.closeIdle(endpoint.entry.id());
-                return 0;
-            }
-            return idleMs;
-        }
-
-        void callLost(Call call) {
-            if (call.idleMs > 0) {
-                confirmed |= suspect.filter(s -> s.endpoint.destination != call.endpoint.destination)
-                        .isPresent();
-                suspect = suspect.filter(s -> s.idleMs < call.idleMs).or(() -> Optional.of(call));
-                lastLossAt = clock;
-            }
-        }
-
-        void callDelivered(Call call) {
-            suspect = suspect.filter(s -> s != call && (call.overdue || call.idleMs < s.idleMs));
-            confirmed &= suspect.isPresent();
-        }
-    }
 }
--- a/src/test/java/starlingvalve/PolicyHarness.java
+++ b/src/test/java/starlingvalve/PolicyHarness.java
@@ -91,12 +91,21 @@
     }
 
     PolicyHarness(int slots, int senders, long seed, DeliveryPolicy.ColdStart coldStart) {
+        this(slots, senders, seed, coldStart, true);
+    }
+
+    /** Creates a policy whose settings allow no second copies. */
+    static PolicyHarness withoutHedging() {
+        return new PolicyHarness(10, 2, 7, new DeliveryPolicy.ColdStart(0.2, 12_000, 2, 1500), false);
+    }
+
+    private PolicyHarness(int slots, int senders, long seed, DeliveryPolicy.ColdStart coldStart, boolean hedging) {
         List<DeliveryPolicy.Kind> kinds =
                 List.of(new DeliveryPolicy.Kind(false, 1), new DeliveryPolicy.Kind(false, 5),
                         new DeliveryPolicy.Kind(true, 1));
         DeliveryPolicy.Settings settings =
                 new DeliveryPolicy.Settings(MessageClasses.CLASSES, kinds, true, DeliveryPolicy.Decay.LINEAR,
-                        List.of(0.0, 0.06), senders, slots, 12, true, true, 500, 15_000, coldStart);
+                        List.of(0.0, 0.06), senders, slots, 12, hedging, true, 500, 15_000, coldStart);
         policy = DeliveryPolicy.create(settings, seed, this);
     }
 
