MessageEndTest: force that the time-out passes before the answer is read

It had two races: the loop could read the answer before the test held it, so that it passed without testing anything, and a slow machine passed the 10 ms by which a time-out is put off before the first byte was read.

The answer is now written only while the loop is held, and Endpoints takes the time of time-outs from its clock, which the test sets to 9 ms after the time-out. A second test asks for the bound: at 11 ms the call times out.

--- a/src/main/java/starlingvalve/net/Endpoints.java
+++ b/src/main/java/starlingvalve/net/Endpoints.java
@@ -185,7 +185,7 @@
         this(loop, System::nanoTime, dialTimeoutMs, keepAliveMs, senders, maxIdleConnections, callbacks);
     }
 
-    /** Creates the pool with a given clock for the idle time of connections. */
+    /** Creates the pool with a given clock for idle times and time-outs, which must be {@link System#nanoTime} outside tests. */
     Endpoints(EventLoop loop, LongSupplier nanos, double dialTimeoutMs, double keepAliveMs, int senders,
             int maxIdleConnections, Callbacks callbacks) {
         this(loop, nanos, UnreadInputChannel::new, dialTimeoutMs, keepAliveMs, senders, maxIdleConnections, callbacks);
@@ -384,7 +384,7 @@
     final class Call {
         final AcceptedMessage message;
         final int attempt;
-        final long startedNanos = System.nanoTime();
+        final long startedNanos = nanos.getAsLong();
         private final double timeoutMs;
         private final Future<?> timer;
         private Exchange exchange;
@@ -414,7 +414,7 @@
 
         /** The time until its time-out, at least 1 ms. */
         private long remainingMs() {
-            return Math.max(1, (long) (timeoutMs - (System.nanoTime() - startedNanos) / 1e6));
+            return Math.max(1, (long) (timeoutMs - (nanos.getAsLong() - startedNanos) / 1e6));
         }
 
         /** Whether its first byte may be written; asks {@link Callbacks#callStarting} until it has allowed that. */
@@ -428,7 +428,7 @@
          * {@link #MAX_READ_EXTENSION_NANOS} past the time-out.
          */
         private void timedOut() {
-            long now = System.nanoTime();
+            long now = nanos.getAsLong();
             boolean mayExtend = now - startedNanos < timeoutMs * 1e6 + MAX_READ_EXTENSION_NANOS;
             if (!abandoned && mayExtend && now - exchange.lastReadNanos < MAX_READ_GAP_NANOS) {
                 AfterPendingReads.execute(loop, this::timedOut);
@@ -513,7 +513,7 @@
         /** Bytes that arrived after the answer. */
         private final SurplusInput surplus = new SurplusInput();
         /** When bytes of the answer were read last. */
-        private long lastReadNanos = System.nanoTime() - MAX_READ_GAP_NANOS;
+        private long lastReadNanos = nanos.getAsLong() - MAX_READ_GAP_NANOS;
 
         private Exchange(Peer peer) {
             this.peer = peer;
@@ -688,7 +688,7 @@
          * follows it.
          */
         private void received(ByteBuf input) {
-            lastReadNanos = System.nanoTime();
+            lastReadNanos = nanos.getAsLong();
             scanner.scan(input);
             if (calls.size() == 1 && scanner.status() == HttpResponseStatus.OK.code()) {
                 calls.get(0).answered(AttemptOutcomes.firstLineDelivered(), 0);
--- a/src/test/java/starlingvalve/net/MessageEndTest.java
+++ b/src/test/java/starlingvalve/net/MessageEndTest.java
@@ -1,7 +1,6 @@
 package starlingvalve.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
@@ -21,6 +20,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -81,7 +82,11 @@
     }
 
     private void open(ChannelFactory<UnreadInputChannel> channels, InetSocketAddress firstAddress) {
-        endpoints = new Endpoints(loop, System::nanoTime, channels, 1000, 15_000, 1, 4, callbacks);
+        open(System::nanoTime, channels, firstAddress);
+    }
+
+    private void open(LongSupplier nanos, ChannelFactory<UnreadInputChannel> channels, InetSocketAddress firstAddress) {
+        endpoints = new Endpoints(loop, nanos, channels, 1000, 15_000, 1, 4, callbacks);
         runInLoop(() -> {
             endpoints.updateEndpoint(FIRST, firstAddress, true, 0, 3);
             endpoints.updateEndpoint(SECOND, second.address(), true, 0, 3);
@@ -240,12 +245,19 @@
         }
     }
 
-    /** Guards against a time-out that closes the connection while the answer is read one byte at a time. */
-    @Test
-    void answerBeingReadAtTimeOutIsReadToItsEnd() throws Exception {
-        open(ByteByByteChannel::new, first.address());
+    /**
+     * The time-out passes while the answer is in the socket and the loop reads nothing; then the loop reads one byte at
+     * a time.
+     *
+     * @param lateMs how long after the time-out the loop goes on, by the clock of the endpoints
+     */
+    private Callback endOfCallWithAnswerReadByteByByte(double lateMs) throws Exception {
+        AtomicLong clock = new AtomicLong();
+        open(clock::get, ByteByByteChannel::new, first.address());
+        CountDownLatch loopHeld = new CountDownLatch(1);
         CountDownLatch answered = new CountDownLatch(1);
         first.script((request, socket) -> {
+            SenderFixture.awaitLatch(loopHeld);
             StubServer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
             answered.countDown();
         });
@@ -256,12 +268,27 @@
         });
         StubServer.await("the call arrives", () -> first.requests.size() == 1);
         runInLoop(() -> {
-            // The loop reads nothing until the whole answer is in the socket and the time-out has passed.
+            loopHeld.countDown();
             SenderFixture.awaitLatch(answered);
             TimeUnit.MILLISECONDS.sleep((long) SHORT_MS);
+            clock.set((long) ((SHORT_MS + lateMs) * 1e6));
             return null;
         });
-        assertEquals(new Callback.Ended("late", 0, Outcome.DELIVERED, false, false), next());
-        assertFalse(first.requests.isEmpty());
+        return next();
+    }
+
+    /** Guards against a time-out that closes the connection while the answer is read one byte at a time. */
+    @Test
+    void answerBeingReadAtTimeOutIsReadToItsEnd() throws Exception {
+        assertEquals(new Callback.Ended("late", 0, Outcome.DELIVERED, false, false),
+                endOfCallWithAnswerReadByteByByte(9));
+        assertEquals(1, first.requests.size());
+    }
+
+    /** A time-out is put off for a few milliseconds at most. */
+    @Test
+    void answerThatIsStillReadLongAfterTimeOutIsNotAwaited() throws Exception {
+        assertEquals(new Callback.Ended("late", 0, Outcome.TIMED_OUT, false, false),
+                endOfCallWithAnswerReadByteByByte(11));
     }
 }
