A handover works with a TMPDIR of any length

Cause: the whole path of the handover's socket did not fit into the address of a Unix domain socket, and both processes tried again for ever.

SocketPath reaches the socket through a descriptor of its folder where its path is too long.

--- a/src/main/java/starlingvalve/net/DescriptorBudget.java
+++ b/src/main/java/starlingvalve/net/DescriptorBudget.java
@@ -27,8 +27,11 @@
     private static final int JVM_FILES = 32;
     /** Libraries and random number sources that the JVM opens only on first use. */
     private static final int OPENED_LATER = 8;
-    /** The journal, its compacted copy, the lock and a second attempt at it, and a configuration that is reloaded. */
-    private static final int FILES = 5;
+    /**
+     * The journal, its compacted copy, the lock and a second attempt at it, a configuration that is reloaded, and the
+     * folder of the handover's socket.
+     */
+    private static final int FILES = 6;
     /** The listeners for clients, for operators and for a successor process, and the successor's connection. */
     private static final int LISTENERS = 4;
     /** Connections to discovery and for notices, in use or given up while connecting, and those for lease checks. */
--- a/src/main/java/starlingvalve/net/Endpoints.java
+++ b/src/main/java/starlingvalve/net/Endpoints.java
@@ -185,7 +185,7 @@
         this(loop, System::nanoTime, dialTimeoutMs, keepAliveMs, senders, maxIdleConnections, callbacks);
     }
 
-    /** Creates the pool with a given clock for idle times and time-outs, which must be {@link System#nanoTime} outside tests. */
+    /** Creates the pool with a given clock for idle times and time-outs, for tests. */
     Endpoints(EventLoop loop, LongSupplier nanos, double dialTimeoutMs, double keepAliveMs, int senders,
             int maxIdleConnections, Callbacks callbacks) {
         this(loop, nanos, UnreadInputChannel::new, dialTimeoutMs, keepAliveMs, senders, maxIdleConnections, callbacks);
--- a/src/main/java/starlingvalve/net/Sender.java
+++ b/src/main/java/starlingvalve/net/Sender.java
@@ -12,6 +12,7 @@
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -113,6 +114,8 @@
     private double turnTimeMs;
     private boolean shuttingDown;
     private Handover handover;
+    /** Where this process and another one of this sender meet for a handover. */
+    private Path handoverSocket;
     private final ForwardedSubmissions forwardedSubmissions = new ForwardedSubmissions();
     private Takeover takeover;
     private final PredecessorCalls predecessorCalls = new PredecessorCalls();
@@ -238,7 +241,8 @@
                 InputMemory.ofHeap(InputMemory.REQUESTS_HEAP_DIVISOR), new ClientCallbacks());
         ops = new OperatorServer(acceptor, loop, new OperatorCallbacks());
         handover = new Handover(acceptor, loop, new HandoverCallbacks());
-        takeover = new Takeover(loop, config.state(), config.handover(), startRetry, new TakeoverCallbacks());
+        handoverSocket = handoverSocket();
+        takeover = new Takeover(loop, config.state(), handoverSocket, startRetry, new TakeoverCallbacks());
         EndpointList list = new EndpointList(this::endpointListChanged, events);
         List<Discovery.Source> checks = new ArrayList<>();
         for (int i = 0; i < ListLease.MAX_CHECKS; i++) {
@@ -253,6 +257,15 @@
         discoveryAddress.reload().ifPresent(this::reportReload);
     }
 
+    private Path handoverSocket() {
+        try {
+            return startRetry.runWithRetries("opening TMPDIR", () -> SocketPath.fitting(config.handover()));
+        } catch (IOException e) {
+            Log.line("no new version can take over, as the path of TMPDIR is too long: " + e.getMessage());
+            return config.handover();
+        }
+    }
+
     private AgentConnection agentConnection(int maxAnswerBytes, InputMemory answerMemory) {
         return new AgentConnection(loop, discoveryAddress.current(), UnreadInputChannel::new, maxAnswerBytes, answerMemory);
     }
@@ -289,7 +302,7 @@
         if (snapshot.isPresent()) {
             restorePredecessorState(state.get(), snapshot.get());
         }
-        handover.listen(config.handover());
+        handover.listen(handoverSocket);
     }
 
     /** Returns how messages of a class may be repeated, if the configuration still has that class. */
--- a/src/test/java/starlingvalve/net/SenderFixture.java
+++ b/src/test/java/starlingvalve/net/SenderFixture.java
@@ -130,6 +130,11 @@
                 + "\",\"weight\":1.0,\"startedAtMs\":0}";
     }
 
+    /** The folder of the socket at which an old and a new process meet. */
+    Path temporaryFolder() throws IOException {
+        return folder;
+    }
+
     Config config() throws Exception {
         String classes = """
                 {"name":"order","aim_ms":2000,"give_up_ms":24000,"repeat":"keyed","window_ms":20000},
@@ -147,7 +152,7 @@
                 """.formatted(listenAddress, agent.hostPort(), listInConfig ? list() : "null", classes, fleetSize,
                         hedging, MAX_OPEN));
         return Config.read(Map.of("GW_CONFIG", file.toString(), "GW_STATE", folder.resolve("state").toString(),
-                "TMPDIR", folder.toString()));
+                "TMPDIR", temporaryFolder().toString()));
     }
 
     void start() throws Exception {
