--- a/src/test/java/starlingvalve/net/SenderProcess.java
+++ b/src/test/java/starlingvalve/net/SenderProcess.java
@@ -27,6 +27,7 @@
     private final Map<String, String> environment = new HashMap<>();
     private final List<String> jvmArguments = new ArrayList<>();
     private int descriptorLimit;
+    private boolean oneCore;
     private int runNumber;
     private Process process;
     private InetSocketAddress address;
@@ -63,6 +64,12 @@
         return this;
     }
 
+    /** Runs processes that are started from now on on a single core. */
+    SenderProcess onOneCore() {
+        oneCore = true;
+        return this;
+    }
+
     /** Uses the JVM options with which the sender is deployed, for processes that are started from now on. */
     SenderProcess withDeployedOptions() {
         jvmArguments.add("@deploy/java.options");
@@ -81,6 +88,9 @@
         if (descriptorLimit > 0) {
             command.addAll(List.of("bash", "-c", "ulimit -n " + descriptorLimit + "; exec \"$@\"", "bash"));
         }
+        if (oneCore) {
+            command.addAll(List.of("taskset", "-c", "0"));
+        }
         command.add(Path.of(System.getProperty("java.home"), "bin/java").toString());
         command.addAll(jvmArguments);
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "starlingvalve.Main", "serve"));
@@ -107,6 +117,22 @@
         return operatorsAddress;
     }
 
+    /** Returns the largest resident size that the current process has had, in megabytes. */
+    double peakMemoryMb() {
+        return memoryMb("VmHWM:");
+    }
+
+    /** Returns the resident size of the current process, in megabytes. */
+    double memoryMb() {
+        return memoryMb("VmRSS:");
+    }
+
+    private double memoryMb(String field) {
+        String status = read(Path.of("/proc", "" + process.pid(), "status"));
+        String line = status.lines().filter(candidate -> candidate.startsWith(field)).findFirst().orElseThrow();
+        return Long.parseLong(line.replaceAll("\\D", "")) / 1024.0;
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
--- a/src/test/java/starlingvalve/net/SenderProcessFixture.java
+++ b/src/test/java/starlingvalve/net/SenderProcessFixture.java
@@ -24,7 +24,7 @@
      * Attempts of class {@code hasty} time out early, messages of class {@code brief} are given up early, and the other
      * classes have long time limits.
      */
-    private static final String CLASSES = """
+    static final String CLASSES = """
             {"name":"hasty","aim_ms":100,"give_up_ms":24000,"repeat":"safe"},
             {"name":"brief","aim_ms":4000,"give_up_ms":6000,"repeat":"safe"},
             {"name":"safe","aim_ms":8000,"give_up_ms":24000,"repeat":"safe"},
