--- a/src/main/java/starlingvalve/net/Config.java
+++ b/src/main/java/starlingvalve/net/Config.java
@@ -42,7 +42,8 @@
  * @param knownList endpoint list to use until discovery sends one
  */
 record Config(Path file, String name, InetSocketAddress listen, Optional<InetSocketAddress> ops,
-              InetSocketAddress discovery, Optional<DiscoveryAddress.Reading> discoveryInFile, ListLeasePolicy listLease, Path state, Path handover, long seed,
+              InetSocketAddress discovery, Optional<DiscoveryAddress.Reading> discoveryInFile,
+              ListLeasePolicy listLease, Path state, Path handover, long seed,
               int maxSockets, long diskBytes, DeliveryPolicy.Settings settings, List<String> classes,
               List<String> tenants, List<String> kinds, List<String> zones, int maxOpenMessages, double dialTimeoutMs,
               Optional<JsonNode> knownList) {
--- a/src/main/java/starlingvalve/net/Sender.java
+++ b/src/main/java/starlingvalve/net/Sender.java
@@ -267,7 +267,8 @@
     }
 
     private AgentConnection agentConnection(int maxAnswerBytes, InputMemory answerMemory) {
-        return new AgentConnection(loop, discoveryAddress.current(), UnreadInputChannel::new, maxAnswerBytes, answerMemory);
+        return new AgentConnection(loop, discoveryAddress.current(), UnreadInputChannel::new, maxAnswerBytes,
+                answerMemory);
     }
 
     /**
--- a/src/test/java/starlingvalve/net/UpgradeReloadTest.java
+++ b/src/test/java/starlingvalve/net/UpgradeReloadTest.java
@@ -124,7 +124,7 @@
         }
     }
 
-    /** Signals in series: the process that reloaded last knows the address, whether or not it is the one that serves. */
+    /** Signals in series: the process that reloaded last knows the address, whether or not it serves. */
     @Test
     void reloadOfSuccessorBeforeTakeoverIsNewerThanThatOfPredecessor() throws Exception {
         start();
