Tests: wait until only the successor listens; one piece for what stood twice

After an upgrade it connects at once, and both processes still listen, so the connection can reach the old one, which closes its listener. UpgradeTest waits for that close for the same reason; its wait is ListeningSockets now, and the new upgrade tests use it. That this was the cause is read, not forced.

Starting a successor, daemon threads and the script of ClientLeavesTest stand once. No assertion changed.

--- a/src/test/java/starlingvalve/net/ClientLeavesTest.java
+++ b/src/test/java/starlingvalve/net/ClientLeavesTest.java
@@ -21,6 +21,7 @@
 
     private final CountDownLatch loopHeld = new CountDownLatch(1);
     private final CountDownLatch clientHasLeft = new CountDownLatch(1);
+    private final CountDownLatch callMayBeAnswered = new CountDownLatch(1);
 
     /** Holds the event loop at the next call of this method of the policy, until {@link #clientHasLeft}. */
     private void holdLoopAt(String policyMethod) {
@@ -105,42 +106,40 @@
         assertEquals(List.of("holder", "last", "left-0"), sentIds());
     }
 
-    @Test
-    void messageRunsOnceIfItComesAgainWhileItIsInFlightAndAfterwards() throws Exception {
-        CountDownLatch answer = new CountDownLatch(1);
+    /** Starts the sender, which sends a message whose call is not answered until {@link #callMayBeAnswered}. */
+    private void submitWithoutAnswer() throws Exception {
         script((call, socket) -> {
-            awaitLatch(answer);
+            awaitLatch(callMayBeAnswered);
             StubServer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         });
         start();
         StubServer.write(client(), message("again", "plain", "hello"));
         StubServer.await("it is in flight", () -> calls().size() == 1);
-        clients.get(0).close();
+    }
+
+    private void assertRunsOnceIfItComesAgainNowAndAfterwards() throws Exception {
         submit("again", "plain");
-        answer.countDown();
+        callMayBeAnswered.countDown();
         awaitEmptyJournal();
         submit("again", "plain");
         assertEquals(List.of("again", "last"), sentIds());
     }
 
+    @Test
+    void messageRunsOnceIfItComesAgainWhileItIsInFlightAndAfterwards() throws Exception {
+        submitWithoutAnswer();
+        clients.get(0).close();
+        assertRunsOnceIfItComesAgainNowAndAfterwards();
+    }
+
     @Test
     void messageRunsOnceIfItComesAgainAtSuccessor() throws Exception {
-        CountDownLatch answer = new CountDownLatch(1);
-        script((call, socket) -> {
-            awaitLatch(answer);
-            StubServer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-        });
-        start();
-        StubServer.write(client(), message("again", "plain", "hello"));
-        StubServer.await("it is in flight", () -> calls().size() == 1);
-        Sender predecessor = upgrade();
+        submitWithoutAnswer();
+        Sender predecessor = startSuccessor();
         try {
+            ListeningSockets.awaitSingle(address.getPort());
             clients.get(0).close();
-            submit("again", "plain");
-            answer.countDown();
-            awaitEmptyJournal();
-            submit("again", "plain");
-            assertEquals(List.of("again", "last"), sentIds());
+            assertRunsOnceIfItComesAgainNowAndAfterwards();
         } finally {
             predecessor.kill();
         }
@@ -151,8 +150,9 @@
     void forwardedMessageRunsOnceIfItComesAgainAtSuccessor() throws Exception {
         start();
         Socket client = connectedClient();
-        Sender predecessor = upgrade();
+        Sender predecessor = startSuccessor();
         try {
+            ListeningSockets.awaitSingle(address.getPort());
             holdLoopAt("admissionRetryAfter");
             StubServer.write(client, message("again", "plain", "hello"));
             awaitLatch(loopHeld);
@@ -166,12 +166,4 @@
             predecessor.kill();
         }
     }
-
-    /** Starts a successor beside the running sender, and returns the latter. */
-    private Sender upgrade() throws Exception {
-        Sender predecessor = sender;
-        listenAddress = "127.0.0.1:" + address.getPort();
-        start();
-        return predecessor;
-    }
 }
--- a/src/test/java/starlingvalve/net/ClientLoadProcessTest.java
+++ b/src/test/java/starlingvalve/net/ClientLoadProcessTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -14,7 +13,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -175,8 +173,8 @@
         startSmallSender();
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FLOOD_MS);
         try (Socket flooding = new Socket(sender.address().getAddress(), sender.address().getPort())) {
-            daemon(() -> discardAnswers(flooding));
-            daemon(() -> sendUntil(end, flooding, flood));
+            StubServer.daemon(() -> discardAnswers(flooding));
+            StubServer.daemon(() -> sendUntil(end, flooding, flood));
             List<Long> tookMs = new ArrayList<>();
             for (int i = 0; System.nanoTime() < end; i++) {
                 long begin = System.nanoTime();
@@ -191,12 +189,6 @@
         }
     }
 
-    private static void daemon(Runnable task) {
-        Thread thread = new Thread(task);
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     private static void discardAnswers(Socket client) {
         try {
             byte[] buffer = new byte[1 << 16];
--- a/src/test/java/starlingvalve/net/LongTemporaryFolderTest.java
+++ b/src/test/java/starlingvalve/net/LongTemporaryFolderTest.java
@@ -18,10 +18,9 @@
     @Test
     void successorTakesOver() throws Exception {
         start();
-        Sender predecessor = sender;
-        listenAddress = "127.0.0.1:" + address.getPort();
-        start();
+        Sender predecessor = startSuccessor();
         try {
+            ListeningSockets.awaitSingle(address.getPort());
             assertEquals("200 ok\n", operatorRequest("GET", "/healthcheck"));
             submit("after", "order");
             awaitEmptyJournal();
--- a/src/test/java/starlingvalve/net/SecondCopyProcessTest.java
+++ b/src/test/java/starlingvalve/net/SecondCopyProcessTest.java
@@ -107,6 +107,7 @@
         SenderProcess predecessor = sender;
         sender = successor;
         try {
+            ListeningSockets.awaitSingle(successor.address().getPort());
             awaitBackOff();
             assertEquals(1, callCount("leaving"), "a second copy");
             predecessor.kill();
--- a/src/test/java/starlingvalve/net/SenderFixture.java
+++ b/src/test/java/starlingvalve/net/SenderFixture.java
@@ -177,6 +177,14 @@
                 });
     }
 
+    /** Starts a successor beside the running sender, and returns the latter. */
+    Sender startSuccessor() throws Exception {
+        Sender predecessor = sender;
+        listenAddress = "127.0.0.1:" + address.getPort();
+        start();
+        return predecessor;
+    }
+
     void killAndRestart() throws Exception {
         sender.kill();
         start();
--- a/src/test/java/starlingvalve/net/StubServer.java
+++ b/src/test/java/starlingvalve/net/StubServer.java
@@ -73,7 +73,8 @@
         return "127.0.0.1:" + server.getLocalPort();
     }
 
-    private static void daemon(Runnable task) {
+    /** Runs a task on a thread that does not keep the tests from ending. */
+    static void daemon(Runnable task) {
         Thread thread = new Thread(task);
         thread.setDaemon(true);
         thread.start();
--- a/src/test/java/starlingvalve/net/UpgradeReloadTest.java
+++ b/src/test/java/starlingvalve/net/UpgradeReloadTest.java
@@ -66,6 +66,7 @@
     private void startSuccessor(Sender successor) throws Exception {
         sender = successor;
         address = successor.start();
+        ListeningSockets.awaitSingle(address.getPort());
     }
 
     /** Waits until the sender requests changes of the list at discovery's current address. */
@@ -259,13 +260,7 @@
             lock = StateLock.tryAcquire(config.state()).orElseThrow();
             server = ServerSocketChannel.open(StandardProtocolFamily.UNIX)
                     .bind(UnixDomainSocketAddress.of(config.handover()));
-            daemon(this::accept);
-        }
-
-        private static void daemon(Runnable task) {
-            Thread thread = new Thread(task);
-            thread.setDaemon(true);
-            thread.start();
+            StubServer.daemon(this::accept);
         }
 
         private void accept() {
@@ -278,7 +273,7 @@
                             connection.close();
                         }
                     }
-                    daemon(() -> read(connection));
+                    StubServer.daemon(() -> read(connection));
                 }
             } catch (IOException e) {
                 // Closed by the test.
--- a/src/test/java/starlingvalve/net/UpgradeTest.java
+++ b/src/test/java/starlingvalve/net/UpgradeTest.java
@@ -3,31 +3,17 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.BufferedInputStream;
-import java.io.IOException;
 import java.net.Socket;
 import java.net.UnixDomainSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.List;
-import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** A successor process takes over from a sender that still serves. */
 class UpgradeTest extends SenderFixture {
-    /** The state of a listening socket in the kernel's table. */
-    private static final String LISTEN_STATE = "0A";
-
-    /** Starts a successor beside the running sender, and returns the latter. */
-    private Sender upgrade() throws Exception {
-        Sender predecessor = sender;
-        listenAddress = "127.0.0.1:" + address.getPort();
-        start();
-        return predecessor;
-    }
-
     @Test
     void successorTakesOverCallsInFlightAndClients() throws Exception {
         start();
@@ -38,7 +24,7 @@
         submit("in-flight", "once");
         StubServer.await("the call is in flight", () -> calls().size() == 2);
         assertEquals("200 ok\n", operatorRequest("POST", "/endpoints/s-1/maint"));
-        Sender predecessor = upgrade();
+        Sender predecessor = startSuccessor();
         try {
             assertEquals("200 ok\n", operatorRequest("GET", "/healthcheck"));
             assertEquals(1, metric("in_flight"));
@@ -67,7 +53,7 @@
         start();
         submit("once", "once");
         StubServer.await("the call is in flight", () -> calls().size() == 1);
-        upgrade().kill();
+        startSuccessor().kill();
         awaitNotice("{\"ref\":\"once\",\"result\":\"dead\"}");
         assertEquals(1, calls().size());
     }
@@ -88,7 +74,7 @@
                 StubServer.read(new BufferedInputStream(client.getInputStream()), 0).line());
         awaitEmptyJournal();
         assertEquals(1, calls().size());
-        Sender predecessor = upgrade();
+        Sender predecessor = startSuccessor();
         try {
             submit("after", "order");
             awaitEmptyJournal();
@@ -109,10 +95,10 @@
     void clientDrainPersistsAcrossUpgrade() throws Exception {
         start();
         assertEquals("200 ok\n", operatorRequest("POST", "/healthcheck/fail"));
-        Sender predecessor = upgrade();
+        Sender predecessor = startSuccessor();
         try {
             // Until then a new connection may reach the predecessor, which stays drained.
-            StubServer.await("only the successor listens", () -> listeners(address.getPort()) == 1);
+            ListeningSockets.awaitSingle(address.getPort());
             assertEquals("503", healthStatus());
             assertEquals("200 ok\n", operatorRequest("POST", "/healthcheck/ok"));
             assertEquals("200", healthStatus());
@@ -120,19 +106,4 @@
             predecessor.kill();
         }
     }
-
-    /** Number of sockets that listen at a port, by the kernel's table of IPv4 and IPv6 sockets. */
-    private static long listeners(int port) {
-        return Stream.of("/proc/net/tcp", "/proc/net/tcp6").flatMap(UpgradeTest::lines).map(line -> line.split("\\s+"))
-                .filter(fields -> fields[2].endsWith(String.format(":%04X", port)) && fields[4].equals(LISTEN_STATE))
-                .count();
-    }
-
-    private static Stream<String> lines(String file) {
-        try {
-            return Files.readAllLines(Path.of(file)).stream();
-        } catch (IOException e) {
-            throw new AssertionError(e);
-        }
-    }
 }
